--- /dev/null
+++ b/src/main/java/wellwheel/gallery/GalleryNode.java
@@ -0,0 +1,756 @@
+package wellwheel.gallery;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import wellwheel.lantern.Charter;
+import wellwheel.lantern.Claim;
+import wellwheel.lantern.Clock;
+import wellwheel.lantern.Codes;
+import wellwheel.lantern.Exchange;
+import wellwheel.lantern.Exchange.Answer;
+import wellwheel.lantern.Frame;
+import wellwheel.lantern.Layout;
+import wellwheel.lantern.Options;
+import wellwheel.lantern.Wire;
+
+public final class GalleryNode implements Wire.Ear {
+    private static final System.Logger LOG = System.getLogger("gallery");
+    private static final long CLAIM_MARGIN_US = 1_000_000;
+    private static final long ASK_AGAIN_US = 250_000;
+    private static final long RETRY_US = 25_000;
+    private static final long LOOK_US = 1_700_000;
+    private static final long END_US = 1_500_000;
+    private static final long HEARD_US = 1_500_000;
+    private static final long BEAT_US = 500_000;
+    private static final long QUIET_DRAIN_US = 4;
+    private static final int OPEN_MOST = 8192;
+
+    private static final class Put {
+        Exchange exchange;
+        Frame frame;
+        String tenantKey;
+        String channelKey;
+        Optional<Integer> fixedLine;
+        int line;
+        String sentTo = "";
+        long sentUs;
+        long startUs;
+        long holdUntilUs;
+        long giveUpUs;
+        boolean unsure;
+        int tries;
+    }
+
+    private static final class Look {
+        Exchange exchange;
+        Frame frame;
+        boolean body;
+        int line;
+        long untilUs;
+        final Set<String> asked = new HashSet<>();
+        final Set<String> sure = new HashSet<>();
+        Optional<Frame> best = Optional.empty();
+        boolean wide;
+    }
+
+    private static final class End {
+        Exchange exchange;
+        Frame frame;
+        int line;
+        long sentUs;
+        long untilUs;
+    }
+
+    private static final class Pull {
+        final long token;
+        final Exchange exchange;
+        final String service;
+        final long untilUs;
+        String keeperIp = "";
+
+        Pull(long token, Exchange exchange, String service, long untilUs) {
+            this.token = token;
+            this.exchange = exchange;
+            this.service = service;
+            this.untilUs = untilUs;
+        }
+    }
+
+    private final Options options;
+    private final Clock clock;
+    private final Wire wire;
+    private final Claim claim;
+    private final String id;
+    private final Limiter limiter;
+    private final Map<Long, Put> puts = new LinkedHashMap<>();
+    private final Map<Long, Look> looks = new LinkedHashMap<>();
+    private final Map<Long, End> ends = new LinkedHashMap<>();
+    private final Map<Long, Pull> pulls = new LinkedHashMap<>();
+    private final Map<String, Long> heard = new HashMap<>();
+    private final Map<String, Long> downUs = new HashMap<>();
+    private final Set<String> caughtUp = new HashSet<>();
+    private long startedUs;
+    private long lastRid;
+    private long turn;
+    private long drainedUs;
+    private long askedPeersUs;
+    private boolean leaving;
+    private boolean closing;
+
+    public GalleryNode(Options options, Clock clock, Wire wire, long incarnation) {
+        this.options = options;
+        this.clock = clock;
+        this.wire = wire;
+        this.id = options.node() + "#" + Long.toHexString(incarnation & 0xffffffffL);
+        var seeds = options.seeds().stream().map(Options::hostOf).toList();
+        claim = new Claim(clock, wire, id, seeds, () -> Frame.of("claim").with("role", "gallery").with("zone", options.zone()).with("leaving", leaving), this::onNews);
+        limiter = new Limiter(id, options.windowUs(), claim::coreUs);
+        startedUs = clock.steadyUs();
+        lastRid = (incarnation & 0xffffffL) << 32;
+    }
+
+    public Claim claim() {
+        return claim;
+    }
+
+    public Limiter limiter() {
+        return limiter;
+    }
+
+    public synchronized boolean ready() {
+        return !leaving && fresh() && claim.charter().revision() > 0 && caughtUp() && claim.layout().lines().stream().anyMatch(Layout.Line::whole);
+    }
+
+    private boolean fresh() {
+        return claim.knowsCore() && claim.ageUs() < options.revokeUs() - CLAIM_MARGIN_US;
+    }
+
+    private List<Layout.Member> peers() {
+        return claim.layout().members("gallery").stream().filter(member -> !member.id().equals(id)).toList();
+    }
+
+    private boolean caughtUp() {
+        return clock.steadyUs() - startedUs > 2_000_000 || claim.knowsCore() && claim.layout().memberVersion() > 0 && peers().stream().allMatch(peer -> caughtUp.contains(peer.id()));
+    }
+
+    private double share() {
+        var nowUs = clock.steadyUs();
+        var peers = peers();
+        var heardNow = peers.stream().filter(peer -> nowUs - heard.getOrDefault(peer.id(), Long.MIN_VALUE / 2) < HEARD_US).count();
+        return (1.0 + heardNow) / (1.0 + peers.size());
+    }
+
+    public synchronized void tick() {
+        claim.tick();
+        var nowUs = clock.steadyUs();
+        drainHits(nowUs);
+        tickPuts(nowUs);
+        tickLooks(nowUs);
+        tickEnds(nowUs);
+        tickPulls(nowUs);
+    }
+
+    private void drainHits(long nowUs) {
+        if (!claim.knowsCore()) {
+            return;
+        }
+        if (!caughtUp() && nowUs - askedPeersUs > 200_000) {
+            askedPeersUs = nowUs;
+            peers().stream().filter(peer -> !caughtUp.contains(peer.id())).forEach(peer -> wire.send(peer.ip(), Frame.of("hits.all").with("s", id)));
+        }
+        var idleUs = nowUs - drainedUs;
+        var due = limiter.urgent() || !limiter.idle() && idleUs >= options.syncUs() * QUIET_DRAIN_US || idleUs >= BEAT_US;
+        if (due) {
+            flushHits();
+        }
+    }
+
+    private void flushHits() {
+        drainedUs = clock.steadyUs();
+        var frame = limiter.drain();
+        peers().forEach(peer -> wire.send(peer.ip(), frame));
+    }
+
+    public synchronized void onExchange(Exchange exchange) {
+        var target = exchange.target();
+        var segments = target.split("\\?", 2)[0].split("/", -1);
+        var call = segments.length == 3 ? exchange.method() + " " + segments[1] : "";
+        switch (call) {
+            case "GET message" -> look(exchange, segments[2], false);
+            case "GET message-body" -> look(exchange, segments[2], true);
+            case "POST pull" -> pull(exchange, segments[2]);
+            case "POST job-end" -> end(exchange, segments[2], "end");
+            case "POST job-extend" -> end(exchange, segments[2], "extend");
+            default -> handIn(exchange);
+        }
+    }
+
+    private void handIn(Exchange exchange) {
+        if (!fresh()) {
+            exchange.answer(Answer.later(Codes.NO_CLAIM, 1));
+            return;
+        }
+        var host = exchange.header("Host").orElse("");
+        var path = claim.charter().path(host, exchange.target());
+        if (path.isEmpty()) {
+            exchange.answer(Answer.of(Codes.NO_PATH));
+            return;
+        }
+        var tenant = tenant(exchange);
+        if (tenant.isEmpty() && !path.get().open()) {
+            exchange.answer(Answer.of(Codes.NO_KEY));
+            return;
+        }
+        var name = exchange.header("Attempt-Id").orElse("");
+        if (!name.matches("[A-Za-z0-9._\\-]{1,64}")) {
+            exchange.answer(Answer.of(Codes.NO_ID));
+            return;
+        }
+        var delayMs = number(exchange, "Delay-Ms", 0);
+        if (delayMs < 0 || delayMs > 1_000_000_000L) {
+            exchange.answer(Answer.of(Codes.BAD_DELAY));
+            return;
+        }
+        if (puts.size() >= OPEN_MOST) {
+            exchange.answer(Answer.later(Codes.NOT_KEPT, 1).closing());
+            return;
+        }
+        admit(exchange, path.get(), tenant, name, delayMs * 1000);
+    }
+
+    private void admit(Exchange exchange, Charter.Path path, Optional<Charter.Tenant> tenant, String name, long delayUs) {
+        var share = share();
+        var put = new Put();
+        put.channelKey = "c:" + path.name();
+        put.tenantKey = tenant.map(each -> "t:" + each.name()).orElse("");
+        var channel = limiter.hit(put.channelKey, new Limiter.Limit(options.channelPerS(), options.channelPerS()), share);
+        if (!channel.admitted()) {
+            refuse(exchange, put.channelKey, channel);
+            return;
+        }
+        if (tenant.isPresent()) {
+            var verdict = limiter.hit(put.tenantKey, new Limiter.Limit(tenant.get().perS(), tenant.get().burst()), share);
+            if (!verdict.admitted()) {
+                limiter.giveBack(put.channelKey);
+                refuse(exchange, put.tenantKey, verdict);
+                return;
+            }
+        }
+        if (limiter.urgent() && clock.steadyUs() - drainedUs > 20_000) {
+            flushHits();
+        }
+        keep(exchange, put, path, tenant, name, delayUs);
+    }
+
+    private void refuse(Exchange exchange, String key, Limiter.Verdict verdict) {
+        if (turn++ % 64 == 0) {
+            LOG.log(System.Logger.Level.INFO, "code=" + Codes.LIMIT_EXCEEDED.number() + " bucket=" + (key.startsWith("c:") ? "inbound" : "tenant") + " key=" + key.substring(2)
+                + " limit=" + verdict.limit() + " scaleMs=" + verdict.scaleUs() / 1000 + " retryAfterMs=" + verdict.retryAfterUs() / 1000);
+        }
+        exchange.answer(Answer.later(Codes.OVER_QUOTA, Math.max(1, (verdict.retryAfterUs() + 999_999) / 1_000_000)));
+    }
+
+    private void keep(Exchange exchange, Put put, Charter.Path path, Optional<Charter.Tenant> tenant, String name, long delayUs) {
+        var nowUs = clock.steadyUs();
+        var orderKey = exchange.header("Order-Key").orElse("");
+        var tenantName = tenant.map(Charter.Tenant::name).orElse("");
+        put.exchange = exchange;
+        put.startUs = nowUs;
+        put.holdUntilUs = nowUs + Math.max(RETRY_US, path.aimUs() / 4);
+        put.giveUpUs = nowUs + Math.min(10_000_000, number(exchange, "Time-Left-Ms", 2000) * 1000);
+        put.frame = Frame.of("put").with("id", name).with("tenant", tenantName).with("host", Charter.plainHost(exchange.header("Host").orElse("")))
+            .with("method", exchange.method()).with("target", exchange.target()).with("type", exchange.header("Content-Type").orElse(""))
+            .with("okey", path.inOrder() ? orderKey : "").with("delay", delayUs).with("keep", path.keepUs()).with("body", exchange.body());
+        if (!path.inOrder() && !orderKey.isEmpty()) {
+            put.frame.with("okey", "");
+        }
+        var service = claim.charter().service(path.service());
+        if (path.inOrder() && !orderKey.isEmpty()) {
+            put.fixedLine = Optional.of(spread(tenantName + "\n" + orderKey));
+        } else if (service.map(Charter.Service::paced).orElse(false)) {
+            put.fixedLine = Optional.of(spread(path.service()));
+        } else {
+            put.fixedLine = Optional.empty();
+        }
+        var rid = ++lastRid;
+        puts.put(rid, put);
+        send(rid, put);
+    }
+
+    private static int spread(String text) {
+        var hash = 0xcbf29ce484222325L;
+        for (var b : text.getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ b) * 0x100000001b3L;
+        }
+        hash ^= hash >>> 32;
+        return (int) Math.floorMod(hash * 0x9e3779b97f4a7c15L >>> 20, (long) Layout.LINES);
+    }
+
+    private void send(long rid, Put put) {
+        var nowUs = clock.steadyUs();
+        if (nowUs >= put.giveUpUs) {
+            giveUp(rid, put);
+            return;
+        }
+        var line = put.unsure ? claim.line(put.line) : put.fixedLine.isPresent() ? claim.line(put.fixedLine.get()) : chooseLine();
+        var ip = line.map(each -> claim.layout().ipOf(each.primary())).orElse("");
+        var usable = !ip.isEmpty() && (put.unsure || line.get().whole() && !down(ip));
+        put.sentUs = nowUs;
+        if (!usable) {
+            put.sentTo = "";
+            if (!put.unsure && nowUs >= put.holdUntilUs) {
+                giveUp(rid, put);
+            }
+            return;
+        }
+        put.line = line.get().number();
+        put.sentTo = ip;
+        put.tries++;
+        wire.send(ip, put.frame.with("rid", rid).with("line", put.line));
+    }
+
+    private boolean down(String ip) {
+        return clock.steadyUs() - downUs.getOrDefault(ip, Long.MIN_VALUE / 2) < 200_000;
+    }
+
+    private Optional<Layout.Line> chooseLine() {
+        var near = new ArrayList<Layout.Line>();
+        var any = new ArrayList<Layout.Line>();
+        for (var line : claim.layout().lines()) {
+            var primary = claim.layout().member(line.primary());
+            if (!line.whole() || primary.isEmpty() || down(primary.get().ip())) {
+                continue;
+            }
+            any.add(line);
+            if (primary.get().zone().equals(options.zone())) {
+                near.add(line);
+            }
+        }
+        var from = near.isEmpty() ? any : near;
+        return from.isEmpty() ? Optional.empty() : Optional.of(from.get((int) (turn++ % from.size())));
+    }
+
+    private void giveUp(long rid, Put put) {
+        puts.remove(rid);
+        if (put.unsure) {
+            put.exchange.answer(Answer.of(Codes.UNSURE));
+            return;
+        }
+        limiter.giveBack(put.channelKey);
+        if (!put.tenantKey.isEmpty()) {
+            limiter.giveBack(put.tenantKey);
+        }
+        put.exchange.answer(Answer.later(Codes.NOT_KEPT, 1));
+    }
+
+    private void onPutOk(Frame frame) {
+        var rid = frame.number("rid");
+        var put = puts.get(rid);
+        if (put == null) {
+            return;
+        }
+        if (frame.text("r").equals("kept")) {
+            puts.remove(rid);
+            put.exchange.answer(Answer.of(Codes.KEPT, "Message-Name", name(put.line, put.frame.text("id"))));
+            return;
+        }
+        retry(rid, put);
+    }
+
+    private static String name(int line, String id) {
+        var name = line + "-" + id;
+        return name.length() <= 64 ? name : id;
+    }
+
+    private void retry(long rid, Put put) {
+        put.sentTo = "";
+        if (put.unsure) {
+            put.sentUs = clock.steadyUs();
+        } else if (put.fixedLine.isEmpty() && put.tries < 4) {
+            send(rid, put);
+        } else if (clock.steadyUs() >= put.holdUntilUs) {
+            giveUp(rid, put);
+        } else {
+            put.sentUs = clock.steadyUs();
+        }
+    }
+
+    private void tickPuts(long nowUs) {
+        for (var entry : List.copyOf(puts.entrySet())) {
+            var put = entry.getValue();
+            var waitedUs = nowUs - put.sentUs;
+            if (put.sentTo.isEmpty() ? waitedUs >= RETRY_US : waitedUs >= ASK_AGAIN_US || nowUs >= put.giveUpUs) {
+                put.unsure |= !put.sentTo.isEmpty();
+                send(entry.getKey(), put);
+            }
+        }
+    }
+
+    private Optional<Charter.Tenant> tenant(Exchange exchange) {
+        var words = exchange.header("Authorization").orElse("").trim().split(" +");
+        return words.length == 2 && words[0].equalsIgnoreCase("Bearer") ? claim.charter().tenant(words[1]) : Optional.empty();
+    }
+
+    private static long number(Exchange exchange, String header, long otherwise) {
+        var text = exchange.header(header);
+        if (text.isEmpty()) {
+            return otherwise;
+        }
+        return text.get().trim().matches("[0-9]{1,15}") ? Long.parseLong(text.get().trim()) : -1;
+    }
+
+    private void look(Exchange exchange, String name, boolean body) {
+        if (!fresh()) {
+            exchange.answer(Answer.later(Codes.NO_CLAIM, 1));
+            return;
+        }
+        var tenant = tenant(exchange);
+        var host = Charter.plainHost(exchange.header("Host").orElse(""));
+        if (tenant.isEmpty()) {
+            exchange.answer(Answer.of(Codes.NO_KEY));
+            return;
+        }
+        var look = new Look();
+        look.exchange = exchange;
+        look.body = body;
+        look.untilUs = clock.steadyUs() + LOOK_US;
+        var dash = name.indexOf('-');
+        look.line = dash > 0 && dash < 3 && name.substring(0, dash).matches("[0-9]+") ? Integer.parseInt(name.substring(0, dash)) : -1;
+        look.wide = look.line < 0 || look.line >= Layout.LINES;
+        look.frame = Frame.of("look").with("tenant", tenant.get().name()).with("host", host).with("body", body).with("id", look.wide ? name : name.substring(dash + 1)).with("whole", name);
+        var rid = ++lastRid;
+        looks.put(rid, look);
+        ask(rid, look);
+    }
+
+    private void ask(long rid, Look look) {
+        if (!look.wide) {
+            var ip = claim.line(look.line).map(line -> claim.layout().ipOf(line.primary())).orElse("");
+            if (!ip.isEmpty()) {
+                wire.send(ip, look.frame.with("rid", rid).with("line", look.line));
+            }
+            return;
+        }
+        for (var keeper : claim.layout().members("keeper")) {
+            if (!look.sure.contains(keeper.ip())) {
+                look.asked.add(keeper.ip());
+                wire.send(keeper.ip(), look.frame.with("rid", rid).with("line", -1).with("id", look.frame.text("whole")));
+            }
+        }
+    }
+
+    private void onLookOk(String from, Frame frame) {
+        var rid = frame.number("rid");
+        var look = looks.get(rid);
+        if (look == null) {
+            return;
+        }
+        if (frame.flag("found")) {
+            if (frame.flag("authority")) {
+                tell(rid, look, frame);
+                return;
+            }
+            look.best = Optional.of(frame);
+        } else if (!look.wide && frame.flag("sure")) {
+            look.wide = true;
+            ask(rid, look);
+            return;
+        }
+        if (look.wide && frame.flag("sure")) {
+            look.sure.add(from);
+            if (look.sure.containsAll(look.asked) && look.best.isEmpty()) {
+                looks.remove(rid);
+                look.exchange.answer(Answer.of(Codes.NO_MESSAGE));
+            }
+        }
+    }
+
+    private void tell(long rid, Look look, Frame frame) {
+        looks.remove(rid);
+        var state = frame.small("state");
+        if (look.body) {
+            if (state == 1) {
+                look.exchange.answer(Answer.of(Codes.NO_MESSAGE));
+                return;
+            }
+            var type = frame.text("type").isEmpty() ? "application/octet-stream" : frame.text("type");
+            look.exchange.answer(Answer.of(Codes.FINE).with(type, frame.bytes("body")));
+            return;
+        }
+        var text = state == 1 ? "{\"State\":\"finished\",\"Seal\":\"" + frame.text("seal").replaceAll("[\"\\\\]", "") + "\"}" : state == 2 ? "{\"State\":\"failed\"}" : "{\"State\":\"waiting\"}";
+        look.exchange.answer(Answer.of(Codes.FINE).with("application/json", text.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private void tickLooks(long nowUs) {
+        for (var entry : List.copyOf(looks.entrySet())) {
+            var look = entry.getValue();
+            if (nowUs < look.untilUs) {
+                if ((look.untilUs - nowUs) / 100_000 % 3 == 0) {
+                    ask(entry.getKey(), look);
+                }
+                continue;
+            }
+            if (look.best.isPresent()) {
+                tell(entry.getKey(), look, look.best.get());
+            } else {
+                looks.remove(entry.getKey());
+                look.exchange.answer(Answer.later(Codes.NOT_KEPT, 1));
+            }
+        }
+    }
+
+    private void end(Exchange exchange, String name, String kind) {
+        var lease = exchange.header("Lease").orElse("");
+        if (!lease.matches("[0-9]{1,3}\\.[0-9]{1,12}\\.[0-9]{1,12}")) {
+            exchange.answer(Answer.of(Codes.LEASE_GONE));
+            return;
+        }
+        var result = number(exchange, "Job-Result", kind.equals("end") ? -1 : 0);
+        if (result < 0) {
+            exchange.answer(Answer.of(Codes.BAD_REQUEST));
+            return;
+        }
+        if (ends.size() >= OPEN_MOST) {
+            exchange.answer(Answer.later(Codes.NOT_KEPT, 1));
+            return;
+        }
+        var end = new End();
+        end.exchange = exchange;
+        end.line = Integer.parseInt(lease.substring(0, lease.indexOf('.')));
+        end.untilUs = clock.steadyUs() + END_US;
+        end.frame = Frame.of(kind).with("line", end.line).with("id", name).with("lease", lease).with("result", result).with("seal", exchange.header("Server-Seal").orElse(""));
+        var rid = ++lastRid;
+        ends.put(rid, end);
+        sendEnd(rid, end);
+    }
+
+    private void sendEnd(long rid, End end) {
+        end.sentUs = clock.steadyUs();
+        var ip = claim.line(end.line).map(line -> claim.layout().ipOf(line.primary())).orElse("");
+        if (!ip.isEmpty()) {
+            wire.send(ip, end.frame.with("rid", rid));
+        }
+    }
+
+    private void onEndOk(Frame frame) {
+        var rid = frame.number("rid");
+        var end = ends.get(rid);
+        if (end == null || frame.small("r") == 503) {
+            return;
+        }
+        ends.remove(rid);
+        end.exchange.answer(Answer.of(frame.small("r") == 200 ? Codes.FINE : Codes.LEASE_GONE));
+    }
+
+    private void tickEnds(long nowUs) {
+        for (var entry : List.copyOf(ends.entrySet())) {
+            var end = entry.getValue();
+            if (nowUs >= end.untilUs) {
+                ends.remove(entry.getKey());
+                end.exchange.answer(Answer.later(Codes.NOT_KEPT, 1));
+            } else if (nowUs - end.sentUs > ASK_AGAIN_US) {
+                sendEnd(entry.getKey(), end);
+            }
+        }
+    }
+
+    private void pull(Exchange exchange, String service) {
+        var known = claim.charter().service(service).map(Charter.Service::pull).orElse(false);
+        if (!known) {
+            exchange.answer(claim.charter().revision() == 0 ? Answer.later(Codes.NO_CLAIM, 1) : Answer.of(Codes.NO_PATH));
+            return;
+        }
+        var waitMs = number(exchange, "Wait-Ms", 1000);
+        if (waitMs < 0) {
+            exchange.answer(Answer.of(Codes.BAD_REQUEST));
+            return;
+        }
+        if (closing || pulls.size() >= OPEN_MOST) {
+            exchange.answer(Answer.of(Codes.NOTHING).closing());
+            return;
+        }
+        var pull = new Pull(++lastRid, exchange, service, clock.steadyUs() + Math.min(30_000, waitMs) * 1000);
+        pulls.put(pull.token, pull);
+        exchange.onClose(() -> dropPull(pull));
+        clock.after(Math.max(1000, pull.untilUs - clock.steadyUs()), () -> {
+            synchronized (this) {
+                if (pulls.remove(pull.token) != null) {
+                    pull.exchange.answer(Answer.of(Codes.NOTHING));
+                }
+            }
+        });
+        var keepers = claim.layout().members("keeper");
+        if (!keepers.isEmpty()) {
+            assign(pull, nextKeeper(service, keepers));
+        }
+    }
+
+    private String nextKeeper(String service, List<Layout.Member> keepers) {
+        var counts = new HashMap<String, Integer>();
+        pulls.values().stream().filter(pull -> pull.service.equals(service)).forEach(pull -> counts.merge(pull.keeperIp, 1, Integer::sum));
+        var start = (int) (turn++ % keepers.size());
+        var best = keepers.get(start);
+        for (var step = 1; step < keepers.size(); step++) {
+            var other = keepers.get((start + step) % keepers.size());
+            if (counts.getOrDefault(other.ip(), 0) < counts.getOrDefault(best.ip(), 0)) {
+                best = other;
+            }
+        }
+        return best.ip();
+    }
+
+    private void assign(Pull pull, String keeperIp) {
+        pull.keeperIp = keeperIp;
+        wire.send(keeperIp, Frame.of("demand").with("service", pull.service).with("zone", options.zone()).with("tokens", List.of(tokenFrame(pull))));
+    }
+
+    private Frame tokenFrame(Pull pull) {
+        return new Frame().with("t", pull.token).with("w", Math.max(0, pull.untilUs - clock.steadyUs()));
+    }
+
+    private synchronized void dropPull(Pull pull) {
+        if (pulls.remove(pull.token) != null && !pull.keeperIp.isEmpty()) {
+            wire.send(pull.keeperIp, Frame.of("withdraw").with("service", pull.service).with("tokens", List.of(tokenFrame(pull))));
+        }
+    }
+
+    private void onHungry(String from, Frame frame) {
+        var others = pulls.values().stream().filter(pull -> pull.service.equals(frame.text("service")) && !pull.keeperIp.equals(from) && pull.untilUs - clock.steadyUs() > 60_000).toList();
+        var most = Math.min(Math.max(1, frame.small("n")), (others.size() + 1) / 2);
+        for (var pull : others.subList(0, Math.min(most, others.size()))) {
+            if (!pull.keeperIp.isEmpty()) {
+                wire.send(pull.keeperIp, Frame.of("withdraw").with("service", pull.service).with("tokens", List.of(tokenFrame(pull))));
+            }
+            assign(pull, from);
+        }
+    }
+
+    private void onJob(String from, Frame frame) {
+        var pull = pulls.get(frame.number("token"));
+        if (pull == null || !pull.exchange.open()) {
+            wire.send(from, Frame.of("giveback").with("line", frame.number("line")).with("id", frame.text("id")).with("lease", frame.text("lease")));
+            return;
+        }
+        pulls.remove(pull.token);
+        if (!pull.keeperIp.equals(from) && !pull.keeperIp.isEmpty()) {
+            wire.send(pull.keeperIp, Frame.of("withdraw").with("service", pull.service).with("tokens", List.of(tokenFrame(pull))));
+        }
+        var headers = new ArrayList<>(List.of("Attempt-Id", frame.text("id"), "Job-Method", frame.text("method"), "Job-Path", frame.text("target"), "Lease", frame.text("lease")));
+        addIfPresent(headers, "Customer", frame.text("tenant"));
+        addIfPresent(headers, "Order-Key", frame.text("okey"));
+        var type = frame.text("type").isEmpty() ? "application/octet-stream" : frame.text("type");
+        pull.exchange.answer(new Answer(Codes.FINE, headers, type, frame.bytes("body"), false));
+    }
+
+    private static void addIfPresent(List<String> headers, String name, String value) {
+        if (!value.isEmpty()) {
+            headers.add(name);
+            headers.add(value);
+        }
+    }
+
+    private void tickPulls(long nowUs) {
+        var keepers = claim.layout().members("keeper");
+        if (keepers.isEmpty()) {
+            return;
+        }
+        var ips = keepers.stream().map(Layout.Member::ip).toList();
+        pulls.values().stream().filter(pull -> !ips.contains(pull.keeperIp)).toList().forEach(pull -> assign(pull, nextKeeper(pull.service, keepers)));
+    }
+
+    private synchronized void onNews() {
+        for (var entry : List.copyOf(puts.entrySet())) {
+            if (entry.getValue().sentTo.isEmpty()) {
+                send(entry.getKey(), entry.getValue());
+            }
+        }
+    }
+
+    @Override
+    public synchronized void onFrame(String from, Frame frame) {
+        switch (frame.kind()) {
+            case "claim.ok", "claim.no", "news" -> claim.onFrame(from, frame);
+            case "put.ok" -> onPutOk(frame);
+            case "look.ok" -> onLookOk(from, frame);
+            case "end.ok" -> onEndOk(frame);
+            case "job" -> onJob(from, frame);
+            case "hungry" -> onHungry(from, frame);
+            case "hits" -> onHits(from, frame);
+            case "hits.ask" -> {
+                flushHits();
+                wire.send(from, limiter.totals(id));
+            }
+            case "hits.all" -> limiter.everything().forEach(totals -> wire.send(from, totals.with("all", id)));
+            case "hits.totals" -> {
+                limiter.takeTotals(frame);
+                if (frame.has("all")) {
+                    caughtUp.add(frame.text("all"));
+                }
+            }
+            default -> { }
+        }
+    }
+
+    private void onHits(String from, Frame frame) {
+        if (heard.size() > 1024) {
+            heard.clear();
+        }
+        heard.put(frame.text("s"), clock.steadyUs());
+        if (!limiter.take(frame)) {
+            wire.send(from, Frame.of("hits.ask"));
+        }
+    }
+
+    @Override
+    public synchronized void onDown(String ip) {
+        claim.onDown(ip);
+        downUs.put(ip, clock.steadyUs());
+        pulls.values().stream().filter(pull -> pull.keeperIp.equals(ip)).forEach(pull -> pull.keeperIp = "");
+        for (var entry : List.copyOf(puts.entrySet())) {
+            var put = entry.getValue();
+            if (put.sentTo.equals(ip)) {
+                put.unsure = true;
+                put.sentTo = "";
+                put.sentUs = clock.steadyUs();
+            }
+        }
+    }
+
+    @Override
+    public synchronized void onUnsent(String ip, Frame frame) {
+        if (frame.kind().equals("put")) {
+            downUs.put(ip, clock.steadyUs());
+            var rid = frame.number("rid");
+            Optional.ofNullable(puts.get(rid)).filter(put -> put.sentTo.equals(ip)).ifPresent(put -> retry(rid, put));
+        }
+    }
+
+    public synchronized void leave() {
+        leaving = true;
+        claim.renew();
+        flushHits();
+    }
+
+    public synchronized void close() {
+        closing = true;
+        List.copyOf(pulls.values()).forEach(pull -> {
+            dropPull(pull);
+            pull.exchange.answer(Answer.of(Codes.NOTHING).closing());
+        });
+    }
+
+    public synchronized boolean idle() {
+        return puts.isEmpty() && looks.isEmpty() && ends.isEmpty();
+    }
+
+    public synchronized void flush() {
+        flushHits();
+    }
+}
--- /dev/null
+++ b/src/main/java/wellwheel/keeper/Desk.java
@@ -0,0 +1,141 @@
+package wellwheel.keeper;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import wellwheel.lantern.Layout;
+
+final class Desk {
+    private static final int LATE_TURN = 4;
+
+    record Demand(String galleryIp, long token, long expiresUs, boolean near) { }
+
+    static final class Berth {
+        final String address;
+        Layout.Processor processor;
+        int running;
+        double most;
+        int load;
+        int slots;
+        long restUntilUs;
+        long restUs;
+        boolean listed = true;
+
+        Berth(String address, Layout.Processor processor, double most) {
+            this.address = address;
+            this.processor = processor;
+            this.most = most;
+        }
+
+        double weight() {
+            return (running + Math.max(0, load - running) * 0.5) / Math.max(1, slots);
+        }
+
+        void well(double ceiling) {
+            restUs = 0;
+            restUntilUs = 0;
+            most = Math.min(ceiling, most + 0.5);
+        }
+
+        void unwell(long nowUs, double factor) {
+            restUs = Math.min(1_000_000, Math.max(50_000, restUs * 2));
+            restUntilUs = nowUs + restUs;
+            most = Math.max(1, most * factor);
+        }
+    }
+
+    final String service;
+    final ArrayDeque<Demand> demands = new ArrayDeque<>();
+    final Map<String, Berth> berths = new LinkedHashMap<>();
+    private final TreeMap<Integer, LinkedHashMap<String, ArrayDeque<Message>>> fresh = new TreeMap<>();
+    private final ArrayDeque<Message> late = new ArrayDeque<>();
+    private int turn;
+    int waiting;
+    double tokens;
+    long tokensAtUs;
+    boolean asked;
+
+    Desk(String service) {
+        this.service = service;
+    }
+
+    void offer(Message message, int rank) {
+        message.queued = true;
+        waiting++;
+        fresh.computeIfAbsent(rank, r -> new LinkedHashMap<>()).computeIfAbsent(message.tenant, t -> new ArrayDeque<>()).addLast(message);
+    }
+
+    boolean empty() {
+        return waiting == 0;
+    }
+
+    Optional<Message> next(long nowUs) {
+        turn++;
+        if (turn % LATE_TURN == 0 && !late.isEmpty()) {
+            return Optional.of(taken(late.pollFirst()));
+        }
+        for (var tenants : fresh.values()) {
+            var found = nextFresh(tenants, nowUs);
+            if (found.isPresent()) {
+                return found;
+            }
+        }
+        return Optional.ofNullable(late.pollFirst()).map(this::taken);
+    }
+
+    private Optional<Message> nextFresh(LinkedHashMap<String, ArrayDeque<Message>> tenants, long nowUs) {
+        while (!tenants.isEmpty()) {
+            var tenant = tenants.keySet().iterator().next();
+            var queue = tenants.remove(tenant);
+            while (!queue.isEmpty()) {
+                var message = queue.pollFirst();
+                if (nowUs - message.dueUs > message.aimUs) {
+                    late.addLast(message);
+                    continue;
+                }
+                if (!queue.isEmpty()) {
+                    tenants.put(tenant, queue);
+                }
+                return Optional.of(taken(message));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Message taken(Message message) {
+        waiting--;
+        message.queued = false;
+        return message;
+    }
+
+    void removeIf(Predicate<Message> gone) {
+        fresh.values().forEach(tenants -> tenants.values().forEach(queue -> queue.removeIf(message -> dropped(message, gone))));
+        late.removeIf(message -> dropped(message, gone));
+    }
+
+    private boolean dropped(Message message, Predicate<Message> gone) {
+        if (!gone.test(message)) {
+            return false;
+        }
+        taken(message);
+        return true;
+    }
+
+    Map<String, Berth> berthsOf(Collection<Layout.Processor> processors, double share) {
+        var seen = new HashMap<String, Layout.Processor>();
+        processors.stream().filter(p -> p.service().equals(service) && !p.draining()).forEach(p -> seen.put(p.address(), p));
+        berths.values().forEach(berth -> berth.listed = seen.containsKey(berth.address) && seen.get(berth.address).id().equals(berth.processor.id()));
+        berths.values().removeIf(berth -> !berth.listed);
+        seen.forEach((address, processor) -> berths.computeIfAbsent(address, a -> {
+            var berth = new Berth(address, processor, Math.ceil(processor.capacity() * share) + 1);
+            berth.slots = processor.capacity();
+            return berth;
+        }));
+        return berths;
+    }
+}
--- /dev/null
+++ b/src/main/java/wellwheel/keeper/KeeperNode.java
@@ -0,0 +1,1159 @@
+package wellwheel.keeper;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import wellwheel.lantern.Charter;
+import wellwheel.lantern.Claim;
+import wellwheel.lantern.Clock;
+import wellwheel.lantern.Disk;
+import wellwheel.lantern.Frame;
+import wellwheel.lantern.Journal;
+import wellwheel.lantern.Layout;
+import wellwheel.lantern.Options;
+import wellwheel.lantern.Wire;
+
+public final class KeeperNode implements Wire.Ear {
+    private static final System.Logger LOG = System.getLogger("keeper");
+    private static final long LEG_FRESH_US = 2_500_000;
+    private static final long RESEND_US = 250_000;
+    private static final long LOST_US = 600_000;
+    private static final long LEG_SLACK_US = 150_000;
+    private static final long LIVE_BYTES_MOST = 64L << 20;
+    private static final long LONG_JOURNAL = 48L << 20;
+    private static final int DEMANDS_MOST = 4096;
+
+    private static final class Joining {
+        final String node;
+        boolean asked;
+        boolean spoken;
+        boolean level;
+        int owed;
+        long askedUs;
+
+        Joining(String node) {
+            this.node = node;
+        }
+    }
+
+    private static final class Pending {
+        final long seq;
+        final Frame record;
+        final boolean sync;
+        final Set<String> owing = new HashSet<>();
+        final Runnable then;
+        final long sinceUs;
+        long sentUs;
+        boolean local;
+
+        Pending(long seq, Frame record, boolean sync, Runnable then, long nowUs) {
+            this.seq = seq;
+            this.record = record;
+            this.sync = sync;
+            this.then = then;
+            this.sinceUs = nowUs;
+            this.sentUs = nowUs;
+        }
+    }
+
+    private static final class Line {
+        final int number;
+        Layout.Line place;
+        boolean seen;
+        boolean open;
+        boolean member;
+        long epoch;
+        long seq;
+        long lastNumber;
+        final Map<String, Message> messages = new LinkedHashMap<>();
+        final Map<String, ArrayDeque<Message>> orders = new HashMap<>();
+        final TreeMap<Long, Pending> pending = new TreeMap<>();
+        Optional<Joining> joining = Optional.empty();
+
+        Line(int number) {
+            this.number = number;
+            this.place = new Layout.Line(number, 0, "", "", "", 0);
+        }
+    }
+
+    private record Timed(long atUs, Message message, long stamp) { }
+
+    private final Options options;
+    private final Clock clock;
+    private final Wire wire;
+    private final Journal journal;
+    private final Courier courier;
+    private final Random luck;
+    private final Claim claim;
+    private final String id;
+    private final Map<Integer, Line> lines = new TreeMap<>();
+    private final Map<String, Desk> desks = new HashMap<>();
+    private final PriorityQueue<Timed> agenda = new PriorityQueue<>((a, b) -> Long.compare(a.atUs(), b.atUs()));
+    private long agendaAtUs = Long.MAX_VALUE;
+    private long liveBytes;
+    private boolean leaving;
+    private boolean rewriting;
+    private int legsRunning;
+    private long purgedUs;
+    private String diskId = "";
+    private boolean fresh;
+
+    public KeeperNode(Options options, Clock clock, Wire wire, Disk disk, Courier courier, long seed) {
+        this.options = options;
+        this.clock = clock;
+        this.wire = wire;
+        this.courier = courier;
+        this.luck = new Random(seed);
+        this.journal = new Journal(disk, "keeper.journal");
+        journal.replay(record -> recover(Frame.unpack(record)));
+        if (diskId.isEmpty()) {
+            fresh = true;
+            diskId = Long.toHexString(luck.nextLong() & 0xffffffffffL);
+            journal.append(Frame.of("disk").with("id", diskId).pack(), () -> { });
+        }
+        id = options.node() + "#" + diskId;
+        var seeds = options.seeds().stream().map(Options::hostOf).toList();
+        claim = new Claim(clock, wire, id, seeds, () -> Frame.of("claim").with("role", "keeper").with("zone", options.zone()).with("leaving", leaving), this::onNews);
+    }
+
+    public Claim claim() {
+        return claim;
+    }
+
+    public String id() {
+        return id;
+    }
+
+    private Line line(int number) {
+        return lines.computeIfAbsent(number, Line::new);
+    }
+
+    private void recover(Frame record) {
+        switch (record.kind()) {
+            case "disk" -> diskId = record.text("id");
+            case "m", "u" -> upsert(line(record.small("line")), record);
+            case "f" -> forget(line(record.small("line")));
+            case "x" -> Optional.ofNullable(line(record.small("line")).messages.remove(record.text("id"))).ifPresent(old -> liveBytes -= old.body.length);
+            default -> { }
+        }
+    }
+
+    private Optional<Message> upsert(Line line, Frame record) {
+        var message = line.messages.get(record.text("id"));
+        if (message != null) {
+            message.update(record);
+            if (message.state == Message.State.FINISHED) {
+                shed(message);
+            }
+        } else if (record.kind().equals("m")) {
+            message = new Message(record);
+            line.messages.put(message.id, message);
+            line.lastNumber = Math.max(line.lastNumber, message.number);
+            liveBytes += message.body.length;
+        }
+        return Optional.ofNullable(message);
+    }
+
+    private void forget(Line line) {
+        line.messages.values().forEach(message -> liveBytes -= message.body.length);
+        line.messages.clear();
+        line.orders.clear();
+        line.pending.clear();
+        line.joining = Optional.empty();
+    }
+
+    public synchronized void tick() {
+        claim.tick();
+        var nowUs = clock.steadyUs();
+        lines.values().forEach(line -> tickLine(line, nowUs));
+        refreshDesks();
+        desks.values().forEach(this::pump);
+        if (nowUs - purgedUs > 1_000_000) {
+            purgedUs = nowUs;
+            purge();
+            compact();
+        }
+    }
+
+    private void tickLine(Line line, long nowUs) {
+        if (line.seen && !line.open && line.place.primary().equals(id)) {
+            report(Frame.of("line.reopen").with("line", line.number).with("epoch", line.place.epoch()).with("node", id));
+        }
+        if (!line.open) {
+            return;
+        }
+        line.joining.ifPresent(join -> tickJoin(line, join, nowUs));
+        for (var pending : line.pending.values()) {
+            if (pending.owing.isEmpty() || nowUs - pending.sentUs < RESEND_US) {
+                continue;
+            }
+            pending.sentUs = nowUs;
+            pending.owing.forEach(node -> sendRep(line, pending, node));
+            if (nowUs - pending.sinceUs > LOST_US) {
+                pending.owing.forEach(node -> reportLost(line, node));
+            }
+        }
+    }
+
+    private void tickJoin(Line line, Joining join, long nowUs) {
+        if (join.level) {
+            report(Frame.of("line.level").with("line", line.number).with("epoch", line.place.epoch()).with("node", join.node));
+        } else if (!join.spoken && nowUs - join.askedUs > RESEND_US) {
+            askJoin(line, join);
+        }
+    }
+
+    private void report(Frame frame) {
+        wire.send(claim.pilot(), frame);
+    }
+
+    private void reportLost(Line line, String node) {
+        report(Frame.of("line.lost").with("line", line.number).with("epoch", line.place.epoch()).with("node", node));
+    }
+
+    private synchronized void onNews() {
+        for (var place : claim.layout().lines()) {
+            var line = line(place.number());
+            if (place.version() > line.place.version()) {
+                moved(line, place);
+            }
+        }
+        refreshDesks();
+        desks.values().forEach(this::pump);
+    }
+
+    private void moved(Line line, Layout.Line place) {
+        var first = !line.seen;
+        var old = line.place;
+        line.place = place;
+        line.seen = true;
+        line.epoch = Math.max(line.epoch, place.epoch());
+        var mine = place.primary().equals(id);
+        if (!mine) {
+            stepDown(line);
+        }
+        if (!place.has(id)) {
+            line.member = false;
+            if (place.whole() && !line.messages.isEmpty()) {
+                forget(line);
+                journal.append(Frame.of("f").with("line", line.number).pack(), () -> { });
+            }
+            return;
+        }
+        var newborn = place.epoch() == 1 && fresh;
+        line.member |= newborn;
+        if (!mine) {
+            return;
+        }
+        if (!line.open && (!first || newborn)) {
+            open(line);
+        }
+        if (line.open) {
+            reconcile(line, old);
+        }
+    }
+
+    private void stepDown(Line line) {
+        if (!line.open) {
+            return;
+        }
+        line.open = false;
+        line.pending.clear();
+        line.joining = Optional.empty();
+        line.orders.clear();
+        line.messages.values().forEach(message -> {
+            message.stamp++;
+            message.settling = false;
+            message.settleWaiters.clear();
+            var waiters = List.copyOf(message.keptWaiters);
+            message.keptWaiters.clear();
+            waiters.forEach(waiter -> waiter.accept(false));
+        });
+        desks.values().forEach(desk -> desk.removeIf(message -> message.line == line.number));
+    }
+
+    private void open(Line line) {
+        line.open = true;
+        var wasMember = line.member;
+        line.member = true;
+        var nowUs = claim.coreUs();
+        var ordered = new ArrayList<>(line.messages.values());
+        ordered.sort((a, b) -> Long.compare(a.number, b.number));
+        for (var message : ordered) {
+            message.kept = true;
+            message.settling = false;
+            if (message.waiting()) {
+                enlist(line, message);
+                var maybeRunning = !message.lease.isEmpty() && !message.lease.equals(message.endedLease);
+                if (maybeRunning || !wasMember) {
+                    message.nextUs = Math.max(message.nextUs, nowUs + legTimeUs(message));
+                }
+                message.running = false;
+            }
+        }
+        for (var message : ordered) {
+            if (message.waiting()) {
+                arrange(line, message);
+            }
+        }
+        desks.values().forEach(desk -> {
+            desk.tokens = 0;
+            desk.tokensAtUs = nowUs;
+        });
+    }
+
+    private long legTimeUs(Message message) {
+        var path = claim.charter().path(message.host, message.target);
+        var pulled = path.flatMap(p -> claim.charter().service(p.service())).map(Charter.Service::pull).orElse(true);
+        return pulled ? options.visibleUs() + 50_000 : path.get().giveUpUs() + LEG_SLACK_US;
+    }
+
+    private void enlist(Line line, Message message) {
+        if (!message.orderKey.isEmpty()) {
+            line.orders.computeIfAbsent(message.orderName(), name -> new ArrayDeque<>()).addLast(message);
+        }
+    }
+
+    private void reconcile(Line line, Layout.Line old) {
+        var place = line.place;
+        if (place.joining().isEmpty()) {
+            line.joining = Optional.empty();
+        } else if (line.joining.map(join -> !join.node.equals(place.joining())).orElse(true)) {
+            var join = new Joining(place.joining());
+            line.joining = Optional.of(join);
+            askJoin(line, join);
+        }
+        var members = List.of(place.backup(), place.joining());
+        for (var pending : List.copyOf(line.pending.values())) {
+            pending.owing.retainAll(members);
+            settle(line, pending);
+        }
+        if (place.whole() && !old.backup().equals(place.backup())) {
+            keepAll(line);
+        }
+    }
+
+    private void keepAll(Line line) {
+        for (var message : List.copyOf(line.messages.values())) {
+            if (message.kept) {
+                flushWaiters(message);
+            } else {
+                replicate(line, message.whole(), true, () -> keptNow(line, message));
+            }
+        }
+    }
+
+    private void flushWaiters(Message message) {
+        var waiters = List.copyOf(message.keptWaiters);
+        message.keptWaiters.clear();
+        waiters.forEach(waiter -> waiter.accept(true));
+    }
+
+    private void askJoin(Line line, Joining join) {
+        join.asked = true;
+        join.askedUs = clock.steadyUs();
+        send(join.node, Frame.of("join.ask").with("line", line.number).with("epoch", line.place.epoch()));
+    }
+
+    private void send(String node, Frame frame) {
+        var ip = claim.layout().ipOf(node);
+        if (!ip.isEmpty()) {
+            wire.send(ip, frame.with("from", id));
+        }
+    }
+
+    private void replicate(Line line, Frame record, boolean sync, Runnable then) {
+        var pending = new Pending(++line.seq, record, sync, then, clock.steadyUs());
+        line.pending.put(pending.seq, pending);
+        if (line.place.whole()) {
+            pending.owing.add(line.place.backup());
+            sendRep(line, pending, line.place.backup());
+        }
+        line.joining.filter(join -> join.spoken).ifPresent(join -> {
+            pending.owing.add(join.node);
+            sendRep(line, pending, join.node);
+        });
+        if (!sync) {
+            pending.local = true;
+            settle(line, pending);
+            return;
+        }
+        journal.append(record.pack(), () -> {
+            synchronized (this) {
+                pending.local = true;
+                settle(line, pending);
+            }
+        });
+    }
+
+    private void sendRep(Line line, Pending pending, String node) {
+        send(node, Frame.of("rep").with("line", line.number).with("epoch", line.place.epoch()).with("seq", pending.seq).with("sync", pending.sync).with("rec", pending.record));
+    }
+
+    private void settle(Line line, Pending pending) {
+        if (pending.local && pending.owing.isEmpty() && line.pending.remove(pending.seq) != null) {
+            pending.then.run();
+        }
+    }
+
+    @Override
+    public synchronized void onFrame(String from, Frame frame) {
+        switch (frame.kind()) {
+            case "claim.ok", "claim.no", "news" -> claim.onFrame(from, frame);
+            case "rep" -> onRep(from, frame);
+            case "rep.ok" -> onRepOk(frame);
+            case "rep.no" -> onRepNo(frame);
+            case "join.ask" -> onJoinAsk(from, frame);
+            case "join.have" -> onJoinHave(frame);
+            case "join.drop" -> onJoinDrop(frame);
+            case "put" -> onPut(from, frame);
+            case "look" -> onLook(from, frame);
+            case "end" -> onEnd(from, frame);
+            case "extend" -> onExtend(from, frame);
+            case "demand" -> onDemand(from, frame);
+            case "withdraw" -> onWithdraw(from, frame);
+            case "giveback" -> onGiveBack(frame);
+            case "outcome" -> onForwarded(frame);
+            default -> { }
+        }
+    }
+
+    @Override
+    public synchronized void onDown(String ip) {
+        claim.onDown(ip);
+        desks.values().forEach(desk -> desk.demands.removeIf(demand -> demand.galleryIp().equals(ip)));
+    }
+
+    private void onRep(String from, Frame frame) {
+        var line = line(frame.small("line"));
+        var epoch = frame.number("epoch");
+        var answer = Frame.of("rep.no").with("line", line.number).with("seq", frame.number("seq")).with("epoch", Math.max(line.epoch, epoch)).with("from", id);
+        if (epoch < line.epoch || line.open && epoch == line.epoch) {
+            wire.send(from, answer.with("why", "stale"));
+            return;
+        }
+        if (epoch > line.epoch) {
+            line.epoch = epoch;
+            stepDown(line);
+        }
+        if (!line.member) {
+            wire.send(from, answer.with("why", "unjoined"));
+            return;
+        }
+        var record = frame.inner("rec");
+        upsert(line, record);
+        var ok = Frame.of("rep.ok").with("line", line.number).with("seq", frame.number("seq")).with("epoch", epoch).with("from", id);
+        if (frame.flag("sync")) {
+            journal.append(record.pack(), () -> wire.send(from, ok));
+        } else {
+            wire.send(from, ok);
+        }
+    }
+
+    private void onRepOk(Frame frame) {
+        var line = line(frame.small("line"));
+        var pending = line.pending.get(frame.number("seq"));
+        if (!line.open || pending == null) {
+            return;
+        }
+        pending.owing.remove(frame.text("from"));
+        settle(line, pending);
+    }
+
+    private void onRepNo(Frame frame) {
+        var line = line(frame.small("line"));
+        if (!line.open) {
+            return;
+        }
+        if (frame.number("epoch") > line.epoch) {
+            line.epoch = frame.number("epoch");
+            stepDown(line);
+            claim.renew();
+        } else if (frame.text("why").equals("unjoined") && (frame.text("from").equals(line.place.backup()) || line.joining.map(j -> j.spoken).orElse(false))) {
+            reportLost(line, frame.text("from"));
+        }
+    }
+
+    private void onJoinAsk(String from, Frame frame) {
+        var line = line(frame.small("line"));
+        if (frame.number("epoch") < line.epoch || line.open && frame.number("epoch") <= line.epoch) {
+            return;
+        }
+        line.epoch = frame.number("epoch");
+        stepDown(line);
+        line.member = true;
+        var have = new ArrayList<Object>();
+        line.messages.values().forEach(message -> have.add(new Frame().with("id", message.id).with("v", message.version())
+            .with("seal", message.seal).with("state", message.state.ordinal()).with("ended", message.endedUs)));
+        wire.send(from, Frame.of("join.have").with("line", line.number).with("epoch", line.epoch).with("have", have).with("from", id));
+    }
+
+    private void onJoinHave(Frame frame) {
+        var line = line(frame.small("line"));
+        var join = line.joining.filter(each -> each.node.equals(frame.text("from")) && !each.spoken).orElse(null);
+        if (!line.open || join == null) {
+            return;
+        }
+        join.spoken = true;
+        var have = new HashMap<String, String>();
+        var extra = new ArrayList<Object>();
+        for (var each : frame.frames("have")) {
+            have.put(each.text("id"), each.text("v"));
+            var known = line.messages.get(each.text("id"));
+            if (known == null) {
+                extra.add(each.text("id"));
+            } else if (known.waiting() && each.small("state") == Message.State.FINISHED.ordinal() && !known.settling) {
+                finish(line, known, Message.State.FINISHED, each.text("seal"), "", () -> { });
+            }
+        }
+        send(join.node, Frame.of("join.drop").with("line", line.number).with("epoch", line.place.epoch()).with("ids", extra));
+        join.owed = 1;
+        for (var message : List.copyOf(line.messages.values())) {
+            var theirs = have.get(message.id);
+            if (theirs == null || !theirs.equals(message.version()) || !message.lease.isEmpty()) {
+                join.owed++;
+                handOver(line, join, theirs == null ? message.whole() : message.change());
+            }
+        }
+        levelled(line, join);
+    }
+
+    private void handOver(Line line, Joining join, Frame record) {
+        var pending = new Pending(++line.seq, record, true, () -> levelled(line, join), clock.steadyUs());
+        pending.local = true;
+        pending.owing.add(join.node);
+        line.pending.put(pending.seq, pending);
+        sendRep(line, pending, join.node);
+    }
+
+    private void levelled(Line line, Joining join) {
+        join.owed--;
+        if (join.owed == 0 && line.joining.filter(each -> each == join).isPresent()) {
+            join.level = true;
+            tickJoin(line, join, clock.steadyUs());
+        }
+    }
+
+    private void onJoinDrop(Frame frame) {
+        var line = line(frame.small("line"));
+        if (frame.number("epoch") < line.epoch || line.open) {
+            return;
+        }
+        frame.texts("ids").forEach(each -> Optional.ofNullable(line.messages.remove(each)).ifPresent(old -> {
+            liveBytes -= old.body.length;
+            journal.append(Frame.of("x").with("line", line.number).with("id", each).pack(), () -> { });
+        }));
+    }
+
+    private void onPut(String from, Frame frame) {
+        var line = line(frame.small("line"));
+        var rid = frame.number("rid");
+        var known = line.messages.get(frame.text("id"));
+        if (!line.open || known == null && (!line.place.whole() || leaving && !line.place.primary().equals(id) || liveBytes > LIVE_BYTES_MOST)) {
+            wire.send(from, Frame.of("put.ok").with("rid", rid).with("r", "no"));
+            return;
+        }
+        if (known != null) {
+            answerPut(line, known, from, rid);
+            return;
+        }
+        var nowUs = claim.coreUs();
+        frame.with("no", ++line.lastNumber).with("due", nowUs + frame.number("delay")).with("expire", nowUs + frame.number("keep"));
+        var message = new Message(frame.with("state", 0L));
+        line.messages.put(message.id, message);
+        liveBytes += message.body.length;
+        message.nextUs = message.dueUs;
+        enlist(line, message);
+        answerPut(line, message, from, rid);
+        replicate(line, message.whole(), true, () -> keptNow(line, message));
+    }
+
+    private void answerPut(Line line, Message message, String from, long rid) {
+        if (message.kept && line.place.whole()) {
+            wire.send(from, Frame.of("put.ok").with("rid", rid).with("r", "kept"));
+            return;
+        }
+        message.keptWaiters.add(kept -> {
+            if (kept) {
+                wire.send(from, Frame.of("put.ok").with("rid", rid).with("r", "kept"));
+            }
+        });
+    }
+
+    private void keptNow(Line line, Message message) {
+        if (message.kept || !line.place.whole()) {
+            return;
+        }
+        message.kept = true;
+        flushWaiters(message);
+        arrange(line, message);
+    }
+
+    private void onLook(String from, Frame frame) {
+        var answer = Frame.of("look.ok").with("rid", frame.number("rid"));
+        var found = frame.small("line") >= 0 ? Optional.ofNullable(line(frame.small("line")).messages.get(frame.text("id"))) : anywhere(frame.text("id"));
+        var seen = found.filter(message -> message.tenant.equals(frame.text("tenant")) && message.host.equals(frame.text("host")));
+        var sure = frame.small("line") < 0 ? claim.ageUs() < 1_000_000 : line(frame.small("line")).open;
+        answer.with("sure", sure).with("found", seen.isPresent());
+        seen.ifPresent(message -> {
+            var authority = line(message.line).open;
+            var settled = message.waiting() || !message.settling;
+            answer.with("state", settled ? message.state.ordinal() : 0).with("seal", settled ? message.seal : "").with("authority", authority);
+            if (frame.flag("body")) {
+                answer.with("body", message.body).with("type", message.contentType);
+            }
+        });
+        wire.send(from, answer);
+    }
+
+    private Optional<Message> anywhere(String wanted) {
+        Optional<Message> found = Optional.empty();
+        for (var line : lines.values()) {
+            var message = line.messages.get(wanted);
+            if (message != null && (line.open || found.isEmpty())) {
+                found = Optional.of(message);
+            }
+        }
+        return found;
+    }
+
+    private void arrange(Line line, Message message) {
+        if (!line.open || !message.waiting() || message.running || message.queued || message.settling) {
+            return;
+        }
+        var nowUs = claim.coreUs();
+        if (!message.orderKey.isEmpty() && line.orders.get(message.orderName()).peekFirst() != message) {
+            return;
+        }
+        if (nowUs >= message.expireUs) {
+            finish(line, message, Message.State.FAILED, "", "", () -> { });
+            return;
+        }
+        var atUs = Math.max(message.nextUs, message.dueUs);
+        if (atUs > nowUs) {
+            agenda.add(new Timed(Math.min(atUs, message.expireUs), message, ++message.stamp));
+            armAgenda();
+            return;
+        }
+        offer(line, message);
+    }
+
+    private void armAgenda() {
+        var first = agenda.peek();
+        if (first == null || first.atUs() >= agendaAtUs) {
+            return;
+        }
+        agendaAtUs = first.atUs();
+        clock.after(Math.max(500, first.atUs() - claim.coreUs()), this::runAgenda);
+    }
+
+    private synchronized void runAgenda() {
+        agendaAtUs = Long.MAX_VALUE;
+        var nowUs = claim.coreUs();
+        while (!agenda.isEmpty() && agenda.peek().atUs() <= nowUs) {
+            var timed = agenda.poll();
+            if (timed.stamp() == timed.message().stamp) {
+                arrange(line(timed.message().line), timed.message());
+            }
+        }
+        armAgenda();
+    }
+
+    private void offer(Line line, Message message) {
+        var path = claim.charter().path(message.host, message.target);
+        if (path.isEmpty()) {
+            if (claim.charter().revision() > 0) {
+                finish(line, message, Message.State.FAILED, "", "", () -> { });
+            }
+            return;
+        }
+        message.aimUs = path.get().startAimUs();
+        var desk = desks.computeIfAbsent(path.get().service(), Desk::new);
+        desk.offer(message, path.get().rank());
+        pump(desk);
+    }
+
+    private boolean mayStart() {
+        return claim.ageUs() < LEG_FRESH_US;
+    }
+
+    private void refreshDesks() {
+        var keepers = Math.max(1, claim.layout().members("keeper").size());
+        for (var desk : desks.values()) {
+            var service = claim.charter().service(desk.service);
+            if (service.isEmpty() || service.get().pull()) {
+                continue;
+            }
+            if (service.get().endpoint().isEmpty()) {
+                desk.berthsOf(claim.roster(), 1.0 / keepers);
+            } else if (!desk.berths.containsKey(service.get().endpoint())) {
+                desk.berths.clear();
+                var processor = new Layout.Processor("", desk.service, service.get().endpoint(), "", 8, false, 0);
+                desk.berths.put(service.get().endpoint(), new Desk.Berth(service.get().endpoint(), processor, 8));
+            }
+        }
+    }
+
+    private void pump(Desk desk) {
+        if (desk.empty() || !mayStart()) {
+            return;
+        }
+        var service = claim.charter().service(desk.service);
+        if (service.isEmpty()) {
+            return;
+        }
+        if (service.get().pull()) {
+            pumpPull(desk);
+        } else {
+            if (desk.berths.isEmpty()) {
+                refreshDesks();
+            }
+            pumpPush(desk, service.get());
+        }
+    }
+
+    private void pumpPull(Desk desk) {
+        var nowUs = clock.steadyUs();
+        while (!desk.empty()) {
+            var demand = desk.demands.pollFirst();
+            if (demand == null) {
+                askDemand(desk);
+                return;
+            }
+            if (demand.expiresUs() > nowUs) {
+                var picked = pick(desk);
+                if (picked.isEmpty()) {
+                    desk.demands.addFirst(demand);
+                    return;
+                }
+                grant(picked.get(), options.visibleUs(), (line, message) -> handOut(line, message, demand));
+            }
+        }
+    }
+
+    private void askDemand(Desk desk) {
+        if (!desk.asked) {
+            desk.asked = true;
+            claim.layout().members("gallery").forEach(gallery -> wire.send(gallery.ip(), Frame.of("hungry").with("service", desk.service).with("n", desk.waiting)));
+            clock.after(20_000, () -> {
+                synchronized (this) {
+                    desk.asked = false;
+                    pump(desk);
+                }
+            });
+        }
+    }
+
+    private Optional<Message> pick(Desk desk) {
+        while (!desk.empty()) {
+            var next = desk.next(claim.coreUs());
+            if (next.isEmpty()) {
+                return next;
+            }
+            var message = next.get();
+            if (claim.coreUs() < message.expireUs && claim.charter().path(message.host, message.target).map(path -> path.service().equals(desk.service)).orElse(false)) {
+                return next;
+            }
+            arrange(line(message.line), message);
+        }
+        return Optional.empty();
+    }
+
+    private interface Start {
+        void start(Line line, Message message);
+    }
+
+    private void grant(Message message, long runUs, Start start) {
+        var line = line(message.line);
+        message.running = true;
+        message.leg++;
+        message.lease = line.number + "." + line.place.epoch() + "." + message.leg;
+        message.untilUs = claim.coreUs() + runUs;
+        var lease = message.lease;
+        replicate(line, message.change(), false, () -> {
+            if (line.open && message.lease.equals(lease)) {
+                start.start(line, message);
+            }
+        });
+    }
+
+    private void handOut(Line line, Message message, Desk.Demand demand) {
+        wire.send(demand.galleryIp(), Frame.of("job").with("token", demand.token()).with("line", line.number).with("id", message.id).with("lease", message.lease)
+            .with("method", message.method).with("target", message.target).with("tenant", message.tenant).with("type", message.contentType).with("okey", message.orderKey).with("body", message.body));
+        message.untilUs = claim.coreUs() + options.visibleUs();
+        watchLease(line, message, message.lease);
+    }
+
+    private void watchLease(Line line, Message message, String lease) {
+        clock.after(Math.max(1000, message.untilUs + 60_000 - claim.coreUs()), () -> {
+            synchronized (this) {
+                if (!line.open || !message.running || !message.lease.equals(lease) || !message.waiting() || message.settling) {
+                    return;
+                }
+                if (claim.coreUs() < message.untilUs + 50_000) {
+                    watchLease(line, message, lease);
+                    return;
+                }
+                message.running = false;
+                message.nextUs = 0;
+                arrange(line, message);
+            }
+        });
+    }
+
+    private void onGiveBack(Frame frame) {
+        var line = line(frame.small("line"));
+        var message = line.messages.get(frame.text("id"));
+        if (line.open && message != null && message.running && message.lease.equals(frame.text("lease")) && message.waiting() && !message.settling) {
+            unrun(line, message, 0);
+        }
+    }
+
+    private void unrun(Line line, Message message, long waitUs) {
+        message.running = false;
+        message.endedLease = message.lease;
+        message.nextUs = claim.coreUs() + waitUs;
+        replicate(line, message.change(), false, () -> { });
+        arrange(line, message);
+    }
+
+    private void pumpPush(Desk desk, Charter.Service service) {
+        var nowUs = claim.coreUs();
+        while (!desk.empty()) {
+            if (!hasToken(desk, service, nowUs)) {
+                return;
+            }
+            var berth = choose(desk, nowUs);
+            if (berth.isEmpty()) {
+                return;
+            }
+            var picked = pick(desk);
+            if (picked.isEmpty()) {
+                return;
+            }
+            desk.tokens -= 1;
+            var path = claim.charter().path(picked.get().host, picked.get().target).get();
+            berth.get().running++;
+            legsRunning++;
+            grant(picked.get(), path.giveUpUs() + LEG_SLACK_US, (line, message) -> push(desk, service, berth.get(), line, message, path));
+        }
+    }
+
+    private boolean hasToken(Desk desk, Charter.Service service, long nowUs) {
+        if (service.perS() <= 0) {
+            return true;
+        }
+        var rate = service.perS() * 0.985;
+        desk.tokens = Math.min(3, desk.tokens + Math.max(0, nowUs - desk.tokensAtUs) * rate / 1e6);
+        desk.tokensAtUs = nowUs;
+        if (desk.tokens >= 1) {
+            return true;
+        }
+        if (!desk.asked) {
+            desk.asked = true;
+            clock.after((long) ((1 - desk.tokens) / rate * 1e6) + 500, () -> {
+                synchronized (this) {
+                    desk.asked = false;
+                    pump(desk);
+                }
+            });
+        }
+        return false;
+    }
+
+    private Optional<Desk.Berth> choose(Desk desk, long nowUs) {
+        Desk.Berth best = null;
+        for (var berth : desk.berths.values()) {
+            var probing = berth.restUs > 0;
+            if (berth.restUntilUs > nowUs || berth.running >= (probing ? 1 : Math.max(1, (int) berth.most))) {
+                continue;
+            }
+            if (best == null || berth.weight() < best.weight()) {
+                best = berth;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private void push(Desk desk, Charter.Service service, Desk.Berth berth, Line line, Message message, Charter.Path path) {
+        var keepers = Math.max(1, claim.layout().members("keeper").size());
+        var connections = service.endpoint().isEmpty() ? Math.max(1, service.maxConns() / keepers) : Math.max(1, service.maxConns() / 2);
+        var lease = message.lease;
+        var leg = new Courier.Leg(berth.address, message.host, message.target, berth.processor.id(), message.id, message.tenant, message.orderKey, message.method, message.contentType, message.body, path.giveUpUs(), connections);
+        courier.deliver(leg, outcome -> {
+            synchronized (this) {
+                berth.running--;
+                legsRunning--;
+                judge(berth, outcome);
+                conclude(line, message, lease, outcome, service.dropsRepeats());
+                pump(desk);
+            }
+        });
+    }
+
+    private void judge(Desk.Berth berth, Courier.Outcome outcome) {
+        var nowUs = claim.coreUs();
+        var ceiling = berth.processor.id().isEmpty() ? 10 : Math.ceil((double) berth.processor.capacity() / Math.max(1, claim.layout().members("keeper").size())) + 1;
+        var parts = outcome.load().split(",");
+        if (parts.length == 3) {
+            try {
+                berth.load = Integer.parseInt(parts[0].trim()) + Integer.parseInt(parts[1].trim());
+                berth.slots = Integer.parseInt(parts[2].trim());
+            } catch (NumberFormatException e) {
+                berth.load = 0;
+            }
+        }
+        switch (outcome.result()) {
+            case DONE, FAILED, REFUSED -> berth.well(ceiling);
+            case NOT_RUN -> berth.unwell(nowUs, 0.7);
+            case WRONG -> {
+                berth.unwell(nowUs, 1);
+                courier.forget(berth.address);
+            }
+            case UNKNOWN -> berth.unwell(nowUs, 0.6);
+        }
+    }
+
+    private void conclude(Line line, Message message, String lease, Courier.Outcome outcome, boolean safeAgain) {
+        if (!line.open) {
+            send(line.place.primary(), Frame.of("outcome").with("line", line.number).with("id", message.id).with("lease", lease).with("result", outcome.result().ordinal()).with("seal", outcome.seal()));
+            return;
+        }
+        if (!message.lease.equals(lease) || !message.waiting() || message.settling) {
+            return;
+        }
+        switch (outcome.result()) {
+            case DONE -> finish(line, message, Message.State.FINISHED, outcome.seal(), lease, () -> { });
+            case REFUSED -> finish(line, message, Message.State.FAILED, "", lease, () -> { });
+            case FAILED -> failed(line, message, lease, () -> { });
+            case NOT_RUN, WRONG -> unrun(line, message, bounceUs(message));
+            case UNKNOWN -> unrun(line, message, safeAgain ? bounceUs(message) : bounceUs(message) + 20_000);
+        }
+    }
+
+    private long bounceUs(Message message) {
+        message.bounces++;
+        return (long) (Math.min(400_000, 10_000L << Math.min(6, message.bounces)) * (0.5 + luck.nextDouble()));
+    }
+
+    private void onForwarded(Frame frame) {
+        var line = line(frame.small("line"));
+        var message = line.messages.get(frame.text("id"));
+        if (!line.open || message == null || !message.waiting() || message.settling || !message.lease.equals(frame.text("lease"))) {
+            return;
+        }
+        message.running = true;
+        message.stamp++;
+        conclude(line, message, message.lease, new Courier.Outcome(Courier.Result.values()[frame.small("result")], frame.text("seal"), ""), true);
+    }
+
+    private void failed(Line line, Message message, String lease, Runnable then) {
+        var tries = claim.charter().path(message.host, message.target).map(Charter.Path::tries).orElse(1);
+        message.fails++;
+        if (message.fails >= tries) {
+            finish(line, message, Message.State.FAILED, "", lease, then);
+            return;
+        }
+        message.endedLease = lease;
+        message.settling = true;
+        replicate(line, message.change(), true, () -> {
+            message.nextUs = claim.coreUs() + (long) (Math.min(1_000_000, 20_000L << Math.min(6, message.fails)) * (0.5 + luck.nextDouble()));
+            settled(message, then);
+            arrange(line, message);
+        });
+    }
+
+    private void finish(Line line, Message message, Message.State state, String seal, String lease, Runnable then) {
+        message.state = state;
+        message.seal = seal;
+        message.endedLease = lease;
+        message.endedUs = claim.coreUs();
+        message.settling = true;
+        message.stamp++;
+        replicate(line, message.change(), true, () -> {
+            settled(message, then);
+            nextInOrder(line, message);
+        });
+    }
+
+    private void settled(Message message, Runnable then) {
+        message.settling = false;
+        message.running = false;
+        if (message.state == Message.State.FINISHED) {
+            shed(message);
+        }
+        then.run();
+        var waiters = List.copyOf(message.settleWaiters);
+        message.settleWaiters.clear();
+        waiters.forEach(Runnable::run);
+    }
+
+    private void shed(Message message) {
+        liveBytes -= message.body.length;
+        message.body = new byte[0];
+    }
+
+    private void nextInOrder(Line line, Message message) {
+        if (message.orderKey.isEmpty()) {
+            return;
+        }
+        var order = line.orders.get(message.orderName());
+        if (order == null) {
+            return;
+        }
+        order.remove(message);
+        if (order.isEmpty()) {
+            line.orders.remove(message.orderName());
+        } else {
+            arrange(line, order.peekFirst());
+        }
+    }
+
+    private void onEnd(String from, Frame frame) {
+        var line = line(frame.small("line"));
+        var answer = Frame.of("end.ok").with("rid", frame.number("rid"));
+        var message = line.messages.get(frame.text("id"));
+        if (!line.open) {
+            wire.send(from, answer.with("r", 503));
+            return;
+        }
+        var lease = frame.text("lease");
+        if (message == null || lease.isEmpty() || !message.lease.equals(lease)) {
+            wire.send(from, answer.with("r", 409));
+            return;
+        }
+        if (message.settling && message.endedLease.equals(lease)) {
+            message.settleWaiters.add(() -> wire.send(from, answer.with("r", 200)));
+            return;
+        }
+        if (message.endedLease.equals(lease)) {
+            wire.send(from, answer.with("r", 200));
+            return;
+        }
+        if (!message.waiting()) {
+            wire.send(from, answer.with("r", 409));
+            return;
+        }
+        if (message.queued) {
+            desks.values().forEach(desk -> desk.removeIf(each -> each == message));
+        }
+        message.running = true;
+        message.stamp++;
+        endTaken(line, message, lease, frame, () -> wire.send(from, answer.with("r", 200)));
+    }
+
+    private void endTaken(Line line, Message message, String lease, Frame frame, Runnable then) {
+        var result = frame.small("result");
+        if (result >= 200 && result < 300 && !frame.text("seal").isEmpty()) {
+            finish(line, message, Message.State.FINISHED, frame.text("seal"), lease, then);
+        } else if (result == 422) {
+            finish(line, message, Message.State.FAILED, "", lease, then);
+        } else if (result == 503 || result == 429 || result == 400) {
+            unrun(line, message, bounceUs(message));
+            then.run();
+        } else {
+            failed(line, message, lease, then);
+        }
+    }
+
+    private void onExtend(String from, Frame frame) {
+        var line = line(frame.small("line"));
+        var answer = Frame.of("end.ok").with("rid", frame.number("rid"));
+        var message = line.messages.get(frame.text("id"));
+        if (!line.open) {
+            wire.send(from, answer.with("r", 503));
+            return;
+        }
+        var held = message != null && message.waiting() && message.lease.equals(frame.text("lease")) && !message.endedLease.equals(message.lease) && !message.queued;
+        if (held) {
+            message.untilUs = claim.coreUs() + options.visibleUs();
+            if (!message.running) {
+                message.running = true;
+                message.stamp++;
+                watchLease(line, message, message.lease);
+            }
+        }
+        wire.send(from, answer.with("r", held ? 200 : 409));
+    }
+
+    private void onDemand(String from, Frame frame) {
+        var desk = desks.computeIfAbsent(frame.text("service"), Desk::new);
+        var nowUs = clock.steadyUs();
+        for (var each : frame.frames("tokens")) {
+            if (desk.demands.size() < DEMANDS_MOST) {
+                var demand = new Desk.Demand(from, each.number("t"), nowUs + each.number("w") - 20_000, frame.text("zone").equals(options.zone()));
+                if (demand.near()) {
+                    desk.demands.addFirst(demand);
+                } else {
+                    desk.demands.addLast(demand);
+                }
+            }
+        }
+        pump(desk);
+    }
+
+    private void onWithdraw(String from, Frame frame) {
+        var desk = desks.computeIfAbsent(frame.text("service"), Desk::new);
+        var gone = new HashSet<Long>();
+        frame.frames("tokens").forEach(each -> gone.add(each.number("t")));
+        desk.demands.removeIf(demand -> demand.galleryIp().equals(from) && gone.contains(demand.token()));
+    }
+
+    private void purge() {
+        var oldUs = claim.coreUs() - options.statusUs() - 10_000_000;
+        var nowUs = claim.coreUs();
+        for (var line : lines.values()) {
+            line.messages.values().removeIf(message -> {
+                var old = !message.waiting() && message.endedUs < oldUs && !message.settling;
+                if (old) {
+                    liveBytes -= message.body.length;
+                }
+                return old;
+            });
+            if (line.open) {
+                List.copyOf(line.messages.values()).stream().filter(message -> message.waiting() && !message.running && !message.queued && nowUs >= message.expireUs).forEach(message -> arrange(line, message));
+            }
+        }
+    }
+
+    private void compact() {
+        if (rewriting || journal.bytesLong() < LONG_JOURNAL || journal.bytesLong() < 3 * liveBytes) {
+            return;
+        }
+        rewriting = true;
+        var records = new ArrayList<byte[]>();
+        records.add(Frame.of("disk").with("id", diskId).pack());
+        lines.values().forEach(line -> line.messages.values().forEach(message -> records.add(message.whole().pack())));
+        journal.rewrite(records, () -> {
+            synchronized (this) {
+                rewriting = false;
+            }
+        });
+    }
+
+    public synchronized void leave() {
+        leaving = true;
+        claim.renew();
+    }
+
+    public synchronized boolean mayLeave() {
+        return legsRunning == 0 && claim.layout().lines().stream().noneMatch(line -> line.has(id));
+    }
+
+    public synchronized int liveMessages() {
+        return lines.values().stream().mapToInt(line -> line.messages.size()).sum();
+    }
+
+    public synchronized List<Integer> openLines() {
+        return lines.values().stream().filter(line -> line.open).map(line -> line.number).toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/wellwheel/lantern/Clock.java
@@ -0,0 +1,13 @@
+package wellwheel.lantern;
+
+public interface Clock {
+    long steadyUs();
+
+    long wallUs();
+
+    Schedule after(long waitUs, Runnable task);
+
+    interface Schedule {
+        void cancel();
+    }
+}
--- /dev/null
+++ b/src/main/java/wellwheel/lantern/Codes.java
@@ -0,0 +1,55 @@
+package wellwheel.lantern;
+
+public enum Codes {
+    KEPT(1000, 202, "the message is kept on two disks"),
+    FINE(1001, 200, "done"),
+    NOTHING(1002, 204, "no job within the wait"),
+    BAD_REQUEST(2000, 400, "the request cannot be read"),
+    NO_ID(2001, 400, "Attempt-Id is missing or malformed"),
+    BAD_DELAY(2002, 400, "Delay-Ms is not a whole number of milliseconds"),
+    NO_KEY(2003, 401, "the key is missing or unknown"),
+    NO_PATH(2004, 404, "no path matches host and prefix"),
+    NO_MESSAGE(2005, 404, "no such message for this key"),
+    NO_METHOD(2006, 405, "the call does not exist with this method"),
+    TOO_LARGE(2007, 413, "the body is over MaxBodyBytes"),
+    HEAD_TOO_LARGE(2008, 431, "the head is over MaxHeaderBytes"),
+    LEASE_GONE(2009, 409, "the lease is gone"),
+    SLOW_HEAD(2010, 408, "the head did not come within HeaderWaitMs"),
+    OVER_QUOTA(2011, 429, "over the tenant's or the channel's limit"),
+    NOT_KEPT(3000, 503, "cannot be kept now; it was not taken and will never run"),
+    UNSURE(3001, 504, "unknown whether it was kept"),
+    NO_CLAIM(3002, 503, "this node holds no fresh claim"),
+    NO_LEADER(3003, 503, "no leader yet"),
+    ELSEWHERE(3004, 307, "the leader is at Location"),
+    BAD_CONFIG(4000, 400, "the configuration is invalid"),
+    OTHER_BASE(4001, 412, "another version is current"),
+    NO_NODE(4002, 404, "no such storage node"),
+    TOO_FEW(4003, 409, "too few storage nodes would remain"),
+    BAD_OPTIONS(5000, 0, "the options file is unusable; the process ends with status 78"),
+    JOURNAL_CUT(5001, 0, "a damaged journal tail was cut"),
+    LINE_LOST(5002, 0, "both copies of a line are gone; it starts empty"),
+    LIMIT_EXCEEDED(5003, 0, "a hand-in was refused by a limit"),
+    INNER(5004, 0, "an unexpected fault inside the process");
+
+    private final int number;
+    private final int status;
+    private final String meaning;
+
+    Codes(int number, int status, String meaning) {
+        this.number = number;
+        this.status = status;
+        this.meaning = meaning;
+    }
+
+    public int number() {
+        return number;
+    }
+
+    public int status() {
+        return status;
+    }
+
+    public String meaning() {
+        return meaning;
+    }
+}
--- /dev/null
+++ b/src/main/java/wellwheel/lantern/Door.java
@@ -0,0 +1,354 @@
+package wellwheel.lantern;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+public final class Door {
+    private static final int PIPELINE_MOST = 16;
+    private static final long WATCH_US = 500_000;
+    private final EventLoop loop;
+    private final LoopClock clock;
+    private final Supplier<Charter.Caps> caps;
+    private final Consumer<Exchange> handler;
+    private final int connectionsMost;
+    private final Set<Handler> open = new HashSet<>();
+    private boolean draining;
+
+    public Door(EventLoop loop, LoopClock clock, Supplier<Charter.Caps> caps, int connectionsMost, Consumer<Exchange> handler) {
+        this.loop = loop;
+        this.clock = clock;
+        this.caps = caps;
+        this.connectionsMost = connectionsMost;
+        this.handler = handler;
+    }
+
+    public void open(String address) throws InterruptedException {
+        new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel channel) {
+                    if (open.size() >= connectionsMost) {
+                        channel.close();
+                        return;
+                    }
+                    var limits = caps.get();
+                    var config = new HttpDecoderConfig().setMaxInitialLineLength(Math.min(8192, limits.headerBytes())).setMaxHeaderSize(limits.headerBytes()).setInitialBufferSize(256);
+                    var handler = new Handler(channel);
+                    channel.pipeline().addLast(new ByteWatch(handler), new StrictDecoder(config), new HttpResponseEncoder(), handler);
+                }
+            }).bind(Options.hostOf(address), Options.portOf(address)).sync();
+    }
+
+    public void watch() {
+        clock.every(WATCH_US, () -> List.copyOf(open).forEach(Handler::watch));
+    }
+
+    public void drain() {
+        draining = true;
+    }
+
+    public void closeIdle() {
+        List.copyOf(open).forEach(Handler::closeIfIdle);
+    }
+
+    public int connections() {
+        return open.size();
+    }
+
+    private static final class StrictDecoder extends HttpRequestDecoder {
+        StrictDecoder(HttpDecoderConfig config) {
+            super(config);
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("length with chunks");
+        }
+    }
+
+    private static final class ByteWatch extends ChannelInboundHandlerAdapter {
+        private final Handler handler;
+
+        ByteWatch(Handler handler) {
+            this.handler = handler;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            handler.sawBytes();
+            context.fireChannelRead(message);
+        }
+    }
+
+    private final class Handler extends ChannelInboundHandlerAdapter {
+        private final Channel channel;
+        private final ArrayDeque<Request> waiting = new ArrayDeque<>();
+        private Optional<HttpRequest> head = Optional.empty();
+        private Optional<Request> busy = Optional.empty();
+        private ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private long touchedUs = clock.steadyUs();
+        private long headSinceUs = touchedUs;
+        private boolean headBegun;
+        private boolean broken;
+
+        Handler(Channel channel) {
+            this.channel = channel;
+            open.add(this);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            try {
+                touchedUs = clock.steadyUs();
+                if (broken) {
+                    return;
+                }
+                if (message instanceof HttpRequest request) {
+                    takeHead(request);
+                }
+                if (message instanceof HttpContent content && !broken) {
+                    takeBody(content);
+                }
+            } finally {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        private void takeHead(HttpRequest request) {
+            if (request.decoderResult().isFailure()) {
+                var cause = request.decoderResult().cause();
+                breakOff(cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException ? Codes.HEAD_TOO_LARGE : Codes.BAD_REQUEST);
+                return;
+            }
+            if (!sound(request)) {
+                breakOff(Codes.BAD_REQUEST);
+                return;
+            }
+            if (HttpUtil.isContentLengthSet(request) && HttpUtil.getContentLength(request) > caps.get().bodyBytes()) {
+                breakOff(Codes.TOO_LARGE);
+                return;
+            }
+            head = Optional.of(request);
+            headBegun = false;
+            body = new ByteArrayOutputStream(256);
+            if (HttpUtil.is100ContinueExpected(request)) {
+                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+            }
+        }
+
+        private boolean sound(HttpRequest request) {
+            var headers = request.headers();
+            var codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+            var coded = codings.isEmpty() || codings.size() == 1 && codings.get(0).trim().equalsIgnoreCase("chunked") && request.protocolVersion().equals(HttpVersion.HTTP_1_1);
+            var hosted = headers.getAll(HttpHeaderNames.HOST).size() == 1;
+            return coded && hosted && headers.getAll(HttpHeaderNames.CONTENT_LENGTH).size() <= 1 && request.uri().startsWith("/") && request.protocolVersion().majorVersion() == 1;
+        }
+
+        private void takeBody(HttpContent content) {
+            if (content.decoderResult().isFailure()) {
+                breakOff(Codes.BAD_REQUEST);
+                return;
+            }
+            if (head.isEmpty()) {
+                return;
+            }
+            var bytes = content.content();
+            if (body.size() + bytes.readableBytes() > caps.get().bodyBytes()) {
+                breakOff(Codes.TOO_LARGE);
+                return;
+            }
+            var chunk = new byte[bytes.readableBytes()];
+            bytes.readBytes(chunk);
+            body.writeBytes(chunk);
+            if (content instanceof LastHttpContent) {
+                var request = new Request(this, head.get(), body.toByteArray());
+                head = Optional.empty();
+                enqueue(request);
+            }
+        }
+
+        private void enqueue(Request request) {
+            if (waiting.size() >= PIPELINE_MOST) {
+                breakOff(Codes.BAD_REQUEST);
+                return;
+            }
+            waiting.add(request);
+            serve();
+        }
+
+        private void serve() {
+            while (busy.isEmpty() && !waiting.isEmpty() && !broken) {
+                var request = waiting.poll();
+                busy = Optional.of(request);
+                LoopClock.guarded(() -> handler.accept(request));
+            }
+        }
+
+        private void breakOff(Codes code) {
+            broken = true;
+            waiting.clear();
+            if (busy.isEmpty()) {
+                write(Exchange.Answer.of(code).closing(), false);
+            } else {
+                channel.close();
+            }
+        }
+
+        void write(Exchange.Answer answer, boolean keepAlive) {
+            var status = answer.code().status();
+            var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), status == 204 ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(answer.body()));
+            for (var i = 0; i + 1 < answer.headers().size(); i += 2) {
+                response.headers().set(answer.headers().get(i), answer.headers().get(i + 1));
+            }
+            if (status != 204) {
+                response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
+                if (answer.body().length > 0) {
+                    response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
+                }
+            }
+            var close = answer.close() || !keepAlive || draining;
+            if (close) {
+                response.headers().set(HttpHeaderNames.CONNECTION, "close");
+            }
+            var future = channel.writeAndFlush(response);
+            if (close) {
+                broken = true;
+                future.addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
+        void done(Request request, Exchange.Answer answer) {
+            if (busy.isEmpty() || busy.get() != request) {
+                return;
+            }
+            busy = Optional.empty();
+            touchedUs = clock.steadyUs();
+            if (channel.isActive()) {
+                write(answer, HttpUtil.isKeepAlive(request.head));
+                serve();
+            }
+        }
+
+        void watch() {
+            var nowUs = clock.steadyUs();
+            if (busy.isPresent()) {
+                return;
+            }
+            if (head.isPresent() ? nowUs - touchedUs > caps.get().idleUs() : headBegun && nowUs - headSinceUs > caps.get().headerWaitUs()) {
+                breakOff(Codes.SLOW_HEAD);
+            } else if (head.isEmpty() && nowUs - touchedUs > caps.get().idleUs()) {
+                channel.close();
+            }
+        }
+
+        void sawBytes() {
+            if (head.isEmpty() && !headBegun) {
+                headBegun = true;
+                headSinceUs = clock.steadyUs();
+            }
+        }
+
+        void closeIfIdle() {
+            if (busy.isEmpty() && head.isEmpty() && waiting.isEmpty()) {
+                channel.close();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            open.remove(this);
+            busy.ifPresent(Request::closed);
+            waiting.clear();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
+    private static final class Request implements Exchange {
+        private final Handler handler;
+        private final HttpRequest head;
+        private final byte[] body;
+        private Optional<Runnable> onClose = Optional.empty();
+
+        Request(Handler handler, HttpRequest head, byte[] body) {
+            this.handler = handler;
+            this.head = head;
+            this.body = body;
+        }
+
+        @Override
+        public String method() {
+            return head.method().name();
+        }
+
+        @Override
+        public String target() {
+            return head.uri();
+        }
+
+        @Override
+        public Optional<String> header(String name) {
+            return Optional.ofNullable(head.headers().get(name));
+        }
+
+        @Override
+        public byte[] body() {
+            return body;
+        }
+
+        @Override
+        public void answer(Answer answer) {
+            handler.done(this, answer);
+        }
+
+        @Override
+        public boolean open() {
+            return handler.channel.isActive() && handler.busy.filter(request -> request == this).isPresent();
+        }
+
+        @Override
+        public void onClose(Runnable task) {
+            onClose = Optional.of(task);
+        }
+
+        void closed() {
+            onClose.ifPresent(LoopClock::guarded);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wellwheel/lantern/Exchange.java
@@ -0,0 +1,42 @@
+package wellwheel.lantern;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+
+public interface Exchange {
+    String method();
+
+    String target();
+
+    Optional<String> header(String name);
+
+    byte[] body();
+
+    void answer(Answer answer);
+
+    boolean open();
+
+    void onClose(Runnable task);
+
+    record Answer(Codes code, List<String> headers, String contentType, byte[] body, boolean close) {
+        public static Answer of(Codes code, String... headers) {
+            if (code.status() < 300) {
+                return new Answer(code, List.of(headers), "application/json", new byte[0], false);
+            }
+            return new Answer(code, List.of(headers), "application/json", ("{\"Code\":" + code.number() + ",\"Error\":\"" + code.meaning() + "\"}").getBytes(StandardCharsets.UTF_8), false);
+        }
+
+        public static Answer later(Codes code, long waitS) {
+            return of(code, "Retry-After", Long.toString(waitS));
+        }
+
+        public Answer with(String type, byte[] newBody) {
+            return new Answer(code, headers, type, newBody, close);
+        }
+
+        public Answer closing() {
+            return new Answer(code, headers, contentType, body, true);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wellwheel/lantern/Links.java
@@ -0,0 +1,245 @@
+package wellwheel.lantern;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+public final class Links implements Wire {
+    private static final System.Logger LOG = System.getLogger("links");
+    private static final int PROTOCOL = 1;
+    private static final int FRAME_MOST = 64 << 20;
+    private static final long QUEUED_BYTES_MOST = 32L << 20;
+    private static final int CONNECT_MS = 400;
+    private static final long REST_US = 100_000;
+    private static final long PING_US = 200_000;
+    private static final long SILENT_US = 750_000;
+
+    private record Queued(Frame frame, byte[] bytes) { }
+
+    private final class Link {
+        final String ip;
+        Channel channel;
+        boolean connecting;
+        boolean active;
+        long restUntilUs;
+        long pongUs;
+        long pingUs;
+        boolean talked;
+        boolean owed;
+        long queuedBytes;
+        final ArrayDeque<Queued> queue = new ArrayDeque<>();
+
+        Link(String ip) {
+            this.ip = ip;
+        }
+    }
+
+    private final String ip;
+    private final int port;
+    private final EventLoop loop;
+    private final LoopClock clock;
+    private final Map<String, Link> links = new HashMap<>();
+    private final List<Link> unflushed = new ArrayList<>();
+    private boolean flushing;
+    private Ear ear = new Ear() {
+        @Override
+        public void onFrame(String peerIp, Frame frame) { }
+
+        @Override
+        public void onDown(String peerIp) { }
+    };
+
+    public Links(String ip, int port, EventLoop loop, LoopClock clock) {
+        this.ip = ip;
+        this.port = port;
+        this.loop = loop;
+        this.clock = clock;
+    }
+
+    public void open(Ear newEar) throws InterruptedException {
+        ear = newEar;
+        new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, 256).option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel channel) {
+                    channel.pipeline().addLast(new LengthFieldBasedFrameDecoder(FRAME_MOST, 0, 4, 0, 4), new Inbound());
+                }
+            }).bind(ip, port).sync();
+        clock.every(100_000, this::beat);
+    }
+
+    private final class Inbound extends SimpleChannelInboundHandler<ByteBuf> {
+        private String peer = "";
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf buffer) {
+            var bytes = new byte[buffer.readableBytes()];
+            buffer.readBytes(bytes);
+            var frame = Frame.unpack(bytes);
+            if (peer.isEmpty()) {
+                if (!frame.kind().equals("hello") || frame.number("proto") != PROTOCOL) {
+                    context.close();
+                    return;
+                }
+                peer = frame.text("ip");
+            } else if (frame.kind().equals("ping")) {
+                context.writeAndFlush(framed(Frame.of("pong").pack()));
+            } else {
+                LoopClock.guarded(() -> ear.onFrame(peer, frame));
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
+    private final class Outbound extends SimpleChannelInboundHandler<ByteBuf> {
+        private final Link link;
+
+        Outbound(Link link) {
+            this.link = link;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf buffer) {
+            link.pongUs = clock.steadyUs();
+            link.owed = false;
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (link.channel == context.channel()) {
+                link.active = false;
+                link.channel = null;
+                link.queuedBytes = 0;
+                LoopClock.guarded(() -> ear.onDown(link.ip));
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
+    private static ByteBuf framed(byte[] bytes) {
+        return Unpooled.wrappedBuffer(Unpooled.buffer(4).writeInt(bytes.length), Unpooled.wrappedBuffer(bytes));
+    }
+
+    @Override
+    public void send(String peerIp, Frame frame) {
+        if (peerIp.isEmpty()) {
+            return;
+        }
+        var bytes = frame.pack();
+        if (peerIp.equals(ip)) {
+            loop.execute(() -> LoopClock.guarded(() -> ear.onFrame(ip, Frame.unpack(bytes))));
+            return;
+        }
+        var link = links.computeIfAbsent(peerIp, Link::new);
+        if (link.active) {
+            write(link, frame, bytes);
+        } else if (clock.steadyUs() < link.restUntilUs || link.queuedBytes > QUEUED_BYTES_MOST) {
+            loop.execute(() -> LoopClock.guarded(() -> ear.onUnsent(peerIp, frame)));
+        } else {
+            link.queue.add(new Queued(frame, bytes));
+            link.queuedBytes += bytes.length;
+            connect(link);
+        }
+    }
+
+    private void write(Link link, Frame frame, byte[] bytes) {
+        if (link.channel.unsafe().outboundBuffer() != null && link.channel.unsafe().outboundBuffer().totalPendingWriteBytes() > QUEUED_BYTES_MOST) {
+            loop.execute(() -> LoopClock.guarded(() -> ear.onUnsent(link.ip, frame)));
+            return;
+        }
+        link.channel.write(framed(bytes), link.channel.voidPromise());
+        link.talked = true;
+        unflushed.add(link);
+        if (!flushing) {
+            flushing = true;
+            loop.execute(this::flush);
+        }
+    }
+
+    private void flush() {
+        flushing = false;
+        for (var link : unflushed) {
+            if (link.active) {
+                link.channel.flush();
+            }
+        }
+        unflushed.clear();
+    }
+
+    private void connect(Link link) {
+        if (link.connecting) {
+            return;
+        }
+        link.connecting = true;
+        new Bootstrap().group(loop).channel(NioSocketChannel.class).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).option(ChannelOption.TCP_NODELAY, true)
+            .handler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel channel) {
+                    channel.pipeline().addLast(new LengthFieldBasedFrameDecoder(1 << 16, 0, 4, 0, 4), new Outbound(link));
+                }
+            }).connect(link.ip, port).addListener((io.netty.channel.ChannelFuture future) -> connected(link, future));
+    }
+
+    private void connected(Link link, io.netty.channel.ChannelFuture future) {
+        link.connecting = false;
+        var queued = List.copyOf(link.queue);
+        link.queue.clear();
+        link.queuedBytes = 0;
+        if (!future.isSuccess()) {
+            link.restUntilUs = clock.steadyUs() + REST_US;
+            LoopClock.guarded(() -> ear.onDown(link.ip));
+            queued.forEach(each -> LoopClock.guarded(() -> ear.onUnsent(link.ip, each.frame())));
+            return;
+        }
+        link.channel = future.channel();
+        link.active = true;
+        link.owed = false;
+        link.pongUs = clock.steadyUs();
+        link.channel.write(framed(Frame.of("hello").with("proto", PROTOCOL).with("ip", ip).pack()), link.channel.voidPromise());
+        queued.forEach(each -> write(link, each.frame(), each.bytes()));
+        flush();
+    }
+
+    private void beat() {
+        var nowUs = clock.steadyUs();
+        for (var link : List.copyOf(links.values())) {
+            if (!link.active) {
+                continue;
+            }
+            if (link.owed && nowUs - link.pingUs > SILENT_US) {
+                LOG.log(System.Logger.Level.INFO, "silent peer " + link.ip);
+                link.channel.close();
+            } else if (link.talked && !link.owed && nowUs - link.pingUs > PING_US) {
+                link.talked = false;
+                link.owed = true;
+                link.pingUs = nowUs;
+                link.channel.writeAndFlush(framed(Frame.of("ping").pack()), link.channel.voidPromise());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wellwheel/lantern/Station.java
@@ -0,0 +1,87 @@
+package wellwheel.lantern;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.util.Optional;
+import java.util.concurrent.ThreadFactory;
+import sun.misc.Signal;
+
+public final class Station {
+    private static final System.Logger LOG = System.getLogger("station");
+    public static final int BAD_OPTIONS_STATUS = 78;
+
+    private final EventLoop loop;
+    private final LoopClock clock;
+    private final Options options;
+
+    private Station(Options options) {
+        this.options = options;
+        var group = new NioEventLoopGroup(1, (ThreadFactory) Station::loopThread);
+        loop = group.next();
+        clock = new LoopClock(loop);
+    }
+
+    private static Thread loopThread(Runnable task) {
+        var thread = new Thread(null, task, "loop", 512 * 1024);
+        thread.setDaemon(false);
+        return thread;
+    }
+
+    public static Station start() {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        System.setProperty("io.netty.allocator.type", "unpooled");
+        System.setProperty("io.netty.noPreferDirect", "false");
+        System.setProperty("io.netty.recycler.maxCapacityPerThread", "0");
+        System.setProperty("io.netty.leakDetection.level", "disabled");
+        System.setProperty("io.netty.noUnsafe", "false");
+        System.setProperty("io.netty.processId", "1");
+        System.setProperty("io.netty.machineId", "00:00:00:00:00:01");
+        try {
+            return new Station(Options.load());
+        } catch (Options.Unusable e) {
+            LOG.log(System.Logger.Level.ERROR, "code=" + Codes.BAD_OPTIONS.number() + " " + e.getMessage());
+            System.exit(BAD_OPTIONS_STATUS);
+            throw new IllegalStateException(e);
+        }
+    }
+
+    public Options options() {
+        return options;
+    }
+
+    public EventLoop loop() {
+        return loop;
+    }
+
+    public LoopClock clock() {
+        return clock;
+    }
+
+    public void onTerm(Runnable leave) {
+        Signal.handle(new Signal("TERM"), signal -> loop.execute(() -> LoopClock.guarded(leave)));
+        Signal.handle(new Signal("INT"), signal -> loop.execute(() -> LoopClock.guarded(leave)));
+        Signal.handle(new Signal("HUP"), signal -> loop.execute(this::reread));
+    }
+
+    private void reread() {
+        try {
+            var fresh = Options.load();
+            var same = fresh.equals(options);
+            LOG.log(System.Logger.Level.INFO, same ? "options read again, nothing that runs is changed" : "options changed; what is not read at a start is taken now");
+        } catch (Options.Unusable e) {
+            LOG.log(System.Logger.Level.ERROR, "code=" + Codes.BAD_OPTIONS.number() + " kept the old options: " + e.getMessage());
+        }
+    }
+
+    public void end() {
+        LOG.log(System.Logger.Level.INFO, "ends");
+        System.out.flush();
+        Runtime.getRuntime().halt(0);
+    }
+
+    public Optional<String> dataDir() {
+        return options.dataDir().isEmpty() ? Optional.empty() : Optional.of(options.dataDir());
+    }
+}
--- /dev/null
+++ b/src/main/java/wellwheel/pilot/Pilot.java
@@ -0,0 +1,135 @@
+package wellwheel.pilot;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import wellwheel.lantern.Caller;
+import wellwheel.lantern.Charter;
+import wellwheel.lantern.Codes;
+import wellwheel.lantern.Door;
+import wellwheel.lantern.Exchange;
+import wellwheel.lantern.FileDisk;
+import wellwheel.lantern.Layout;
+import wellwheel.lantern.Links;
+import wellwheel.lantern.Station;
+
+public final class Pilot {
+    private static final System.Logger LOG = System.getLogger("pilot");
+    private static final long TICK_US = 50_000;
+    private static final long POLL_US = 900_000;
+    private static final int PAGES_MOST = 200;
+    private static final Charter.Caps CAPS = new Charter.Caps(16384, 8 << 20, 5_000_000, 30_000_000);
+    private final Station station;
+    private final PilotNode node;
+    private final Caller caller;
+    private boolean polling;
+    private boolean leaving;
+    private long lastPollUs;
+    private long leftUs;
+
+    private Pilot(Station station) throws InterruptedException {
+        this.station = station;
+        var options = station.options();
+        var links = new Links(options.ip(), options.innerPort(), station.loop(), station.clock());
+        var disk = new FileDisk(Path.of(station.dataDir().orElse("/tmp/wellwheel")), station.loop());
+        caller = new Caller(station.loop(), station.clock());
+        node = new PilotNode(options, station.clock(), links, disk, new SecureRandom().nextLong());
+        links.open(node);
+        var control = new Door(station.loop(), station.clock(), () -> CAPS, 512, this::serve);
+        control.open(options.control());
+        control.watch();
+        station.clock().every(TICK_US, node::tick);
+        station.clock().every(1_000_000, node::learn);
+        station.clock().every(100_000, this::poll);
+        station.onTerm(this::leave);
+        LOG.log(System.Logger.Level.INFO, "pilot " + options.node() + " is up");
+    }
+
+    public static void main(String[] arguments) throws InterruptedException {
+        new Pilot(Station.start());
+    }
+
+    private void leave() {
+        if (leaving) {
+            return;
+        }
+        leaving = true;
+        leftUs = station.clock().steadyUs();
+        station.clock().every(20_000, () -> {
+            if (node.raft().leave() || station.clock().steadyUs() - leftUs > 1_000_000) {
+                station.clock().after(150_000, station::end);
+            }
+        });
+    }
+
+    private void serve(Exchange exchange) {
+        var segments = exchange.target().split("\\?", 2)[0].split("/", -1);
+        var call = exchange.method() + " " + (segments.length > 1 ? segments[1] : "");
+        var node = segments.length == 3 ? segments[2] : "";
+        switch (call) {
+            case "POST Config.Replace" -> this.node.replace(exchange.body(), base(exchange), reply -> answer(exchange, reply));
+            case "GET Config.Read" -> answer(exchange, this.node.read());
+            case "POST Retire.Start" -> this.node.retire(node, reply -> answer(exchange, reply));
+            case "GET Retire.Read" -> answer(exchange, this.node.retireState(node));
+            case "GET ready" -> exchange.answer(Exchange.Answer.of(Codes.FINE));
+            default -> exchange.answer(Exchange.Answer.of(Codes.NO_PATH));
+        }
+    }
+
+    private static Optional<Long> base(Exchange exchange) {
+        return exchange.header("Based-On-Version").map(String::trim).filter(text -> text.matches("[0-9]{1,18}")).map(Long::parseLong);
+    }
+
+    private static void answer(Exchange exchange, PilotNode.Reply reply) {
+        var answer = reply.code() == Codes.NO_LEADER ? Exchange.Answer.later(reply.code(), 1) : Exchange.Answer.of(reply.code());
+        if (!reply.location().isEmpty()) {
+            answer = Exchange.Answer.of(reply.code(), "Location", reply.location());
+        }
+        exchange.answer(reply.body().length > 0 ? answer.with("application/json", reply.body()) : answer);
+    }
+
+    private void poll() {
+        var nowUs = station.clock().steadyUs();
+        if (polling || station.options().platform().isEmpty() || nowUs - lastPollUs < POLL_US || !node.wantsRoster()) {
+            return;
+        }
+        polling = true;
+        lastPollUs = nowUs;
+        page("", new ArrayList<>(), 0);
+    }
+
+    private void page(String token, List<Layout.Processor> found, int pages) {
+        var target = "/servers" + (token.isEmpty() ? "" : "?PageToken=" + URLEncoder.encode(token, StandardCharsets.UTF_8));
+        caller.call(new Caller.Call(station.options().platform(), "GET", target, List.of("Accept", "application/json"), new byte[0], 1_500_000, 2, ""), answer -> {
+            polling = false;
+            if (answer.fate() != Caller.Fate.ANSWERED || answer.status() != 200) {
+                LOG.log(System.Logger.Level.WARNING, "the platform's list did not come: " + answer.fate() + " " + answer.status());
+                return;
+            }
+            try {
+                var root = JsonParser.parseString(new String(answer.body(), StandardCharsets.UTF_8)).getAsJsonObject();
+                root.getAsJsonArray("Servers").forEach(item -> found.add(processor(item.getAsJsonObject())));
+                var next = root.has("NextToken") && !root.get("NextToken").isJsonNull() ? root.get("NextToken").getAsString() : "";
+                if (!next.isEmpty() && pages < PAGES_MOST) {
+                    polling = true;
+                    station.clock().after((long) (1e6 / Math.max(1, station.options().platformPerS())), () -> page(next, found, pages + 1));
+                } else {
+                    node.roster(found);
+                }
+            } catch (RuntimeException e) {
+                LOG.log(System.Logger.Level.WARNING, "the platform's list cannot be read: " + e.getMessage());
+            }
+        });
+    }
+
+    private static Layout.Processor processor(JsonObject item) {
+        return new Layout.Processor(item.get("Id").getAsString(), item.get("Backend").getAsString(), item.get("Address").getAsString(), item.get("Zone").getAsString(),
+            item.get("Capacity").getAsInt(), !item.get("State").getAsString().equals("ready"), item.get("ColdLeftMs").getAsLong() * 1000);
+    }
+}
--- /dev/null
+++ b/src/main/java/wellwheel/pilot/PilotNode.java
@@ -0,0 +1,706 @@
+package wellwheel.pilot;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import wellwheel.lantern.Charter;
+import wellwheel.lantern.Clock;
+import wellwheel.lantern.Codes;
+import wellwheel.lantern.Disk;
+import wellwheel.lantern.Frame;
+import wellwheel.lantern.Layout;
+import wellwheel.lantern.Options;
+import wellwheel.lantern.Wire;
+
+public final class PilotNode implements Wire.Ear, Raft.Host {
+    private static final System.Logger LOG = System.getLogger("pilot");
+    private static final long KEEPER_CLAIM_US = 1_200_000;
+    private static final long DOWN_CLAIM_US = 500_000;
+    private static final int TAKEN_KEPT = 64;
+
+    public record Reply(Codes code, String location, byte[] body) {
+        static Reply of(Codes code) {
+            return new Reply(code, "", new byte[0]);
+        }
+
+        static Reply of(Codes code, String why) {
+            return new Reply(code, "", Frames.json(code, why));
+        }
+    }
+
+    private static final class Frames {
+        static byte[] json(Codes code, String why) {
+            var quoted = why.replace("\\", "\\\\").replace("\"", "\\\"").replaceAll("\\p{Cntrl}", " ");
+            return ("{\"Code\":" + code.number() + ",\"Error\":\"" + quoted + "\"}").getBytes(StandardCharsets.UTF_8);
+        }
+    }
+
+    private static final class Holder {
+        Layout.Member member;
+        long heardUs;
+        boolean leaving;
+        long downUs = Long.MAX_VALUE / 2;
+    }
+
+    private final Options options;
+    private final Clock clock;
+    private final Wire wire;
+    private final Raft raft;
+    private long coreOffsetUs;
+    private byte[] config = {};
+    private Charter charter = Charter.NONE;
+    private final ArrayDeque<String> taken = new ArrayDeque<>();
+    private final TreeMap<Integer, Layout.Line> lines = new TreeMap<>();
+    private long linesVersion;
+    private final Set<String> retiring = new LinkedHashSet<>();
+    private final Map<String, Holder> holders = new LinkedHashMap<>();
+    private final Map<String, Long> joinReports = new HashMap<>();
+    private long memberVersion;
+    private long rosterVersion;
+    private List<Layout.Processor> roster = List.of();
+    private long ledSinceUs = Long.MAX_VALUE / 2;
+    private long firstKeeperUs = Long.MAX_VALUE / 2;
+    private long newestKeeperUs;
+    private boolean planning;
+    private long lastBalanceUs;
+    private boolean configPending;
+
+    public PilotNode(Options options, Clock clock, Wire wire, Disk disk, long seed) {
+        this.options = options;
+        this.clock = clock;
+        this.wire = wire;
+        coreOffsetUs = clock.wallUs() - clock.steadyUs();
+        var seeds = options.seeds().stream().map(Options::hostOf).toList();
+        raft = new Raft(options.ip(), seeds, options.firstBoot(), clock, wire, disk, this, seed);
+    }
+
+    public Raft raft() {
+        return raft;
+    }
+
+    @Override
+    public synchronized long coreUs() {
+        return clock.steadyUs() + coreOffsetUs;
+    }
+
+    @Override
+    public synchronized void hearCore(long coreUs) {
+        coreOffsetUs = coreUs - clock.steadyUs();
+    }
+
+    @Override
+    public synchronized void apply(long index, byte[] command) {
+        var frame = Frame.unpack(command);
+        switch (frame.kind()) {
+            case "config" -> applyConfig(frame);
+            case "lines" -> applyLines(index, frame);
+            case "retire" -> retiring.add(frame.text("node"));
+            default -> { }
+        }
+    }
+
+    private void applyConfig(Frame frame) {
+        if (frame.number("base") != charter.revision()) {
+            return;
+        }
+        try {
+            var next = Charter.read(frame.bytes("bytes"));
+            if (next.revision() <= charter.revision()) {
+                return;
+            }
+            charter = next;
+            config = frame.bytes("bytes");
+            taken.addLast(digest(config));
+            if (taken.size() > TAKEN_KEPT) {
+                taken.removeFirst();
+            }
+        } catch (Charter.Invalid e) {
+            LOG.log(System.Logger.Level.ERROR, "refused at apply: " + e.getMessage());
+        }
+        pushNews();
+    }
+
+    private void applyLines(long index, Frame frame) {
+        for (var each : frame.frames("lines")) {
+            var line = Layout.Line.read(each);
+            var old = lines.get(line.number());
+            if (old == null ? line.epoch() == 1 : old.epoch() + 1 == line.epoch()) {
+                lines.put(line.number(), line.at(index));
+                linesVersion = index;
+            }
+        }
+        pushNews();
+    }
+
+    @Override
+    public synchronized byte[] snapshot() {
+        return Frame.of("state").with("config", config).with("taken", new ArrayList<Object>(taken)).with("version", linesVersion)
+            .with("retiring", new ArrayList<Object>(retiring)).with("lines", lines.values().stream().map(Layout.Line::frame).toList()).pack();
+    }
+
+    @Override
+    public synchronized void restore(byte[] state) {
+        var frame = Frame.unpack(state);
+        config = frame.bytes("config");
+        try {
+            charter = config.length == 0 ? Charter.NONE : Charter.read(config);
+        } catch (Charter.Invalid e) {
+            throw new IllegalStateException(e);
+        }
+        taken.clear();
+        taken.addAll(frame.texts("taken"));
+        retiring.clear();
+        retiring.addAll(frame.texts("retiring"));
+        linesVersion = frame.number("version");
+        lines.clear();
+        frame.frames("lines").forEach(each -> lines.put(each.small("n"), Layout.Line.read(each)));
+    }
+
+    @Override
+    public synchronized void onLead() {
+        ledSinceUs = clock.steadyUs();
+        holders.clear();
+        joinReports.clear();
+        planning = false;
+        configPending = false;
+        memberVersion = raft.term() << 24;
+        rosterVersion = raft.term() << 24;
+        firstKeeperUs = Long.MAX_VALUE / 2;
+    }
+
+    @Override
+    public synchronized void onYield() {
+        holders.clear();
+        roster = List.of();
+    }
+
+    private static String digest(byte[] bytes) {
+        try {
+            var sum = MessageDigest.getInstance("SHA-256").digest(bytes);
+            var text = new StringBuilder();
+            for (var i = 0; i < 16; i++) {
+                text.append(String.format("%02x", sum[i]));
+            }
+            return text.toString();
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    public void onFrame(String from, Frame frame) {
+        if (frame.kind().startsWith("raft.")) {
+            raft.onFrame(from, frame);
+            return;
+        }
+        switch (frame.kind()) {
+            case "claim" -> onClaim(from, frame);
+            case "line.level" -> onLevel(frame);
+            case "line.lost" -> onLost(frame);
+            case "line.reopen" -> onReopen(frame);
+            default -> { }
+        }
+    }
+
+    @Override
+    public synchronized void onDown(String ip) {
+        holders.values().stream().filter(holder -> holder.member.ip().equals(ip)).forEach(holder -> holder.downUs = Math.min(holder.downUs, clock.steadyUs()));
+    }
+
+    private void onClaim(String from, Frame frame) {
+        if (!raft.leadsFreshly()) {
+            var leader = raft.leader();
+            wire.send(from, Frame.of("claim.no").with("leader", leader.equals(options.ip()) ? "" : leader));
+            return;
+        }
+        var answer = Frame.of("claim.ok").with("sent", frame.number("sent")).with("core", coreUs()).with("voters", raft.voters());
+        synchronized (this) {
+            renew(from, frame);
+            fill(answer, frame.number("rev"), frame.number("lay"), frame.number("mem"), frame.number("ros"));
+        }
+        wire.send(from, answer);
+    }
+
+    private void renew(String from, Frame frame) {
+        var id = frame.text("id");
+        var nowUs = clock.steadyUs();
+        if (holders.size() > 512) {
+            return;
+        }
+        var holder = holders.get(id);
+        if (holder == null) {
+            holder = new Holder();
+            holder.member = new Layout.Member(id, frame.text("role"), from, frame.text("zone"));
+            var node = nodeOf(id);
+            holders.values().removeIf(old -> nodeOf(old.member.id()).equals(node));
+            holders.put(id, holder);
+            if (frame.text("role").equals("keeper")) {
+                firstKeeperUs = Math.min(firstKeeperUs, nowUs);
+                newestKeeperUs = nowUs;
+            }
+            memberVersion++;
+            pushNews();
+        }
+        holder.heardUs = nowUs;
+        holder.leaving = frame.flag("leaving");
+        holder.downUs = Long.MAX_VALUE / 2;
+    }
+
+    private static String nodeOf(String id) {
+        var hash = id.indexOf('#');
+        return hash < 0 ? id : id.substring(0, hash);
+    }
+
+    private void fill(Frame answer, long revision, long layout, long members, long rosterSeen) {
+        if (charter.revision() > revision) {
+            answer.with("rev", charter.revision()).with("config", config);
+        }
+        if (linesVersion > layout) {
+            answer.with("lines", lines.values().stream().filter(line -> line.version() > layout).map(Layout.Line::frame).toList());
+        }
+        if (memberVersion > members) {
+            answer.with("mem", memberVersion).with("members", holders.values().stream().map(holder -> holder.member.frame()).toList());
+        }
+        if (rosterVersion > rosterSeen && !roster.isEmpty()) {
+            answer.with("ros", rosterVersion).with("roster", roster.stream().map(Layout.Processor::frame).toList());
+        }
+    }
+
+    private long pushedRevision;
+    private long pushedLines;
+    private long pushedMembers;
+    private long pushedRoster;
+
+    private void pushNews() {
+        if (!raft.leads()) {
+            pushedRevision = charter.revision();
+            pushedLines = linesVersion;
+            return;
+        }
+        var news = Frame.of("news");
+        fill(news, pushedRevision, pushedLines, pushedMembers, pushedRoster);
+        pushedRevision = charter.revision();
+        pushedLines = linesVersion;
+        pushedMembers = memberVersion;
+        pushedRoster = rosterVersion;
+        holders.values().forEach(holder -> wire.send(holder.member.ip(), news));
+    }
+
+    public synchronized void tick() {
+        raft.tick();
+        if (!raft.leadsFreshly()) {
+            if (!raft.leads() && raft.leader().isEmpty() == false && !raft.voters().contains(options.ip())) {
+                wire.send(raft.leader(), Frame.of("raft.learn"));
+            }
+            return;
+        }
+        dropLapsed();
+        plan();
+    }
+
+    public synchronized void learn() {
+        if (!raft.voters().contains(options.ip())) {
+            raft.voters().forEach(ip -> wire.send(ip, Frame.of("raft.learn")));
+        }
+    }
+
+    private long claimUs(Holder holder) {
+        return holder.member.role().equals("keeper") ? KEEPER_CLAIM_US : options.revokeUs() - 500_000;
+    }
+
+    private boolean alive(Holder holder) {
+        var nowUs = clock.steadyUs();
+        return nowUs - holder.heardUs < claimUs(holder) && !(holder.member.role().equals("keeper") && nowUs - holder.downUs > DOWN_CLAIM_US);
+    }
+
+    private boolean alive(String id) {
+        return Optional.ofNullable(holders.get(id)).map(this::alive).orElse(false);
+    }
+
+    private boolean settled() {
+        return clock.steadyUs() - ledSinceUs > KEEPER_CLAIM_US + 400_000;
+    }
+
+    private void dropLapsed() {
+        var gone = holders.values().stream().filter(holder -> !alive(holder)).map(holder -> holder.member.id()).toList();
+        if (gone.isEmpty()) {
+            return;
+        }
+        gone.forEach(holders::remove);
+        LOG.log(System.Logger.Level.INFO, "claims lapsed: " + gone);
+        memberVersion++;
+        pushNews();
+    }
+
+    private boolean usable(Holder holder) {
+        return holder.member.role().equals("keeper") && alive(holder) && !holder.leaving && !retiring.contains(nodeOf(holder.member.id()));
+    }
+
+    private List<String> usableKeepers() {
+        return holders.values().stream().filter(this::usable).map(holder -> holder.member.id()).sorted().toList();
+    }
+
+    private void plan() {
+        if (planning) {
+            return;
+        }
+        var keepers = usableKeepers();
+        var changes = lines.isEmpty() ? firstPlacement(keepers) : repairs(keepers);
+        if (changes.isEmpty()) {
+            return;
+        }
+        planning = true;
+        var command = Frame.of("lines").with("lines", changes.stream().map(Layout.Line::frame).toList()).pack();
+        raft.propose(command, done -> {
+            synchronized (this) {
+                planning = false;
+            }
+        });
+    }
+
+    private List<Layout.Line> firstPlacement(List<String> keepers) {
+        var nowUs = clock.steadyUs();
+        var patient = nowUs - newestKeeperUs > 1_000_000 || nowUs - firstKeeperUs > 5_000_000;
+        if (keepers.size() < 1 + options.survive() || !patient) {
+            return List.of();
+        }
+        var changes = new ArrayList<Layout.Line>();
+        for (var number = 0; number < Layout.LINES; number++) {
+            var primary = number % keepers.size();
+            var offset = 1 + number / keepers.size() % (keepers.size() - 1);
+            var backup = farFrom(keepers, primary, offset);
+            changes.add(new Layout.Line(number, 1, keepers.get(primary), backup, "", 0));
+        }
+        return changes;
+    }
+
+    private String farFrom(List<String> keepers, int primary, int offset) {
+        var zone = holders.get(keepers.get(primary)).member.zone();
+        for (var step = 0; step < keepers.size(); step++) {
+            var index = (primary + offset + step) % keepers.size();
+            if (index != primary && !holders.get(keepers.get(index)).member.zone().equals(zone)) {
+                return keepers.get(index);
+            }
+        }
+        return keepers.get((primary + offset) % keepers.size());
+    }
+
+    private List<Layout.Line> repairs(List<String> keepers) {
+        if (!settled()) {
+            return List.of();
+        }
+        var weights = new HashMap<String, Integer>();
+        lines.values().forEach(line -> List.of(line.primary(), line.backup(), line.joining()).forEach(id -> weights.merge(id, 1, Integer::sum)));
+        var changes = new ArrayList<Layout.Line>();
+        var calm = true;
+        for (var line : lines.values()) {
+            var next = repair(line, keepers, weights);
+            calm &= next.isEmpty() && line.whole() && line.joining().isEmpty();
+            next.ifPresent(changes::add);
+        }
+        return calm ? balance(keepers) : changes;
+    }
+
+    private Optional<Layout.Line> repair(Layout.Line line, List<String> keepers, Map<String, Integer> weights) {
+        var primaryAlive = alive(line.primary());
+        var backupAlive = line.whole() && alive(line.backup());
+        if (!primaryAlive) {
+            return backupAlive ? Optional.of(line.with(line.backup(), "", pick(line.backup(), line.primary(), keepers, weights))) : rescue(line, keepers, weights);
+        }
+        if (line.whole() && !backupAlive) {
+            var joining = alive(line.joining()) ? line.joining() : pick(line.primary(), line.backup(), keepers, weights);
+            return Optional.of(line.with(line.primary(), "", joining));
+        }
+        if (!line.joining().isEmpty()) {
+            return joined(line).or(() -> alive(line.joining()) ? Optional.empty() : Optional.of(line.with(line.primary(), line.backup(), "")));
+        }
+        if (!line.whole()) {
+            var joining = pick(line.primary(), "", keepers, weights);
+            return joining.isEmpty() ? Optional.empty() : Optional.of(line.with(line.primary(), "", joining));
+        }
+        return relieve(line, keepers, weights);
+    }
+
+    private Optional<Layout.Line> relieve(Layout.Line line, List<String> keepers, Map<String, Integer> weights) {
+        var primaryGoes = !keepers.contains(line.primary());
+        var backupGoes = !keepers.contains(line.backup());
+        if (!primaryGoes && !backupGoes) {
+            return Optional.empty();
+        }
+        var joining = pick(line.primary(), line.backup(), keepers, weights);
+        if (!joining.isEmpty()) {
+            return Optional.of(line.with(line.primary(), line.backup(), joining));
+        }
+        return primaryGoes && !backupGoes ? Optional.of(line.with(line.backup(), line.primary(), "")) : Optional.empty();
+    }
+
+    private Optional<Layout.Line> joined(Layout.Line line) {
+        if (!joinReports.getOrDefault(line.number() + "/" + line.joining(), -1L).equals(line.epoch())) {
+            return Optional.empty();
+        }
+        var keepers = usableKeepers();
+        if (line.whole() && !keepers.contains(line.primary()) && keepers.contains(line.backup())) {
+            return Optional.of(line.with(line.backup(), line.joining(), ""));
+        }
+        if (line.whole() && keepers.contains(line.backup()) && keepers.contains(line.primary())) {
+            var heavy = primaries(line.primary()) > primaries(line.joining()) + 1;
+            return Optional.of(heavy ? line.with(line.joining(), line.primary(), "") : line.with(line.primary(), line.joining(), ""));
+        }
+        return Optional.of(line.with(line.primary(), line.joining(), ""));
+    }
+
+    private long primaries(String id) {
+        return lines.values().stream().filter(line -> line.primary().equals(id)).count();
+    }
+
+    private Optional<Layout.Line> rescue(Layout.Line line, List<String> keepers, Map<String, Integer> weights) {
+        var reborn = holders.keySet().stream().anyMatch(id -> nodeOf(id).equals(nodeOf(line.primary())) && !id.equals(line.primary()));
+        var backupReborn = !line.whole() || holders.keySet().stream().anyMatch(id -> nodeOf(id).equals(nodeOf(line.backup())) && !id.equals(line.backup()));
+        if (!reborn || !backupReborn || keepers.isEmpty()) {
+            return Optional.empty();
+        }
+        LOG.log(System.Logger.Level.ERROR, "code=" + Codes.LINE_LOST.number() + " line " + line.number() + " has no copy left and starts empty");
+        var primary = keepers.get(line.number() % keepers.size());
+        return Optional.of(line.with(primary, "", pick(primary, "", keepers, weights)));
+    }
+
+    private String pick(String primary, String other, List<String> keepers, Map<String, Integer> weights) {
+        var zone = Optional.ofNullable(holders.get(primary)).map(holder -> holder.member.zone()).orElse("");
+        var best = "";
+        var bestWeight = Long.MAX_VALUE;
+        for (var id : keepers) {
+            if (id.equals(primary) || id.equals(other)) {
+                continue;
+            }
+            var sameZone = holders.get(id).member.zone().equals(zone);
+            var weight = weights.getOrDefault(id, 0) + (sameZone ? 1_000_000L : 0);
+            if (weight < bestWeight) {
+                best = id;
+                bestWeight = weight;
+            }
+        }
+        if (!best.isEmpty()) {
+            weights.merge(best, 1, Integer::sum);
+        }
+        return best;
+    }
+
+    private List<Layout.Line> balance(List<String> keepers) {
+        var nowUs = clock.steadyUs();
+        if (nowUs - lastBalanceUs < 500_000 || keepers.size() < 2) {
+            return List.of();
+        }
+        lastBalanceUs = nowUs;
+        var loads = new HashMap<String, Integer>();
+        var leads = new HashMap<String, Integer>();
+        keepers.forEach(id -> {
+            loads.put(id, 0);
+            leads.put(id, 0);
+        });
+        lines.values().forEach(line -> {
+            loads.merge(line.primary(), 1, Integer::sum);
+            loads.merge(line.backup(), 1, Integer::sum);
+            leads.merge(line.primary(), 1, Integer::sum);
+        });
+        var changes = new ArrayList<Layout.Line>();
+        for (var line : lines.values()) {
+            if (changes.size() >= 8) {
+                break;
+            }
+            balance(line, keepers, loads, leads).ifPresent(changes::add);
+        }
+        return changes;
+    }
+
+    private Optional<Layout.Line> balance(Layout.Line line, List<String> keepers, Map<String, Integer> loads, Map<String, Integer> leads) {
+        if (leads.get(line.primary()) > leads.getOrDefault(line.backup(), 0) + 1) {
+            leads.merge(line.primary(), -1, Integer::sum);
+            leads.merge(line.backup(), 1, Integer::sum);
+            return Optional.of(line.with(line.backup(), line.primary(), ""));
+        }
+        var lightest = keepers.stream().filter(id -> !line.has(id)).min((a, b) -> Integer.compare(loads.get(a), loads.get(b)));
+        var heavier = loads.get(line.backup()) >= loads.get(line.primary()) ? line.backup() : line.primary();
+        if (lightest.isEmpty() || loads.get(heavier) <= loads.get(lightest.get()) + 1) {
+            return Optional.empty();
+        }
+        loads.merge(heavier, -1, Integer::sum);
+        loads.merge(lightest.get(), 1, Integer::sum);
+        return Optional.of(line.with(line.primary(), line.backup(), lightest.get()));
+    }
+
+    private synchronized void onLevel(Frame frame) {
+        joinReports.put(frame.small("line") + "/" + frame.text("node"), frame.number("epoch"));
+        if (joinReports.size() > 4096) {
+            joinReports.clear();
+        }
+        if (raft.leadsFreshly()) {
+            plan();
+        }
+    }
+
+    private synchronized void onLost(Frame frame) {
+        var line = lines.get(frame.small("line"));
+        if (!raft.leadsFreshly() || planning || line == null || line.epoch() != frame.number("epoch")) {
+            return;
+        }
+        var node = frame.text("node");
+        if (node.equals(line.backup())) {
+            change(line.with(line.primary(), "", alive(node) ? node : ""));
+        } else if (node.equals(line.joining())) {
+            change(line.with(line.primary(), line.backup(), ""));
+        }
+    }
+
+    private synchronized void onReopen(Frame frame) {
+        var line = lines.get(frame.small("line"));
+        if (!raft.leadsFreshly() || planning || line == null || line.epoch() != frame.number("epoch") || !line.primary().equals(frame.text("node"))) {
+            return;
+        }
+        var backupAlive = line.whole() && alive(line.backup());
+        if (line.whole() && !backupAlive && !settled()) {
+            return;
+        }
+        change(backupAlive ? line.with(line.backup(), "", line.primary()) : line.with(line.primary(), "", ""));
+    }
+
+    private void change(Layout.Line line) {
+        raft.propose(Frame.of("lines").with("lines", List.of(line.frame())).pack(), done -> { });
+    }
+
+    public void replace(byte[] bytes, Optional<Long> base, Consumer<Reply> answer) {
+        var refusal = refusal(bytes, base);
+        if (refusal.isPresent()) {
+            answer.accept(refusal.get());
+            return;
+        }
+        raft.propose(Frame.of("config").with("base", base.orElse(0L)).with("bytes", bytes).pack(), done -> answer.accept(outcome(bytes, done)));
+    }
+
+    private synchronized Reply outcome(byte[] bytes, boolean done) {
+        if (!done) {
+            return Reply.of(Codes.NO_LEADER, "unclear; send it again");
+        }
+        return taken.contains(digest(bytes)) ? Reply.of(Codes.FINE) : Reply.of(Codes.OTHER_BASE, "another version won");
+    }
+
+    private Optional<Reply> refusal(byte[] bytes, Optional<Long> base) {
+        var elsewhere = elsewhere("/Config.Replace");
+        if (elsewhere.isPresent()) {
+            return elsewhere;
+        }
+        synchronized (this) {
+            if (taken.contains(digest(bytes))) {
+                return Optional.of(Reply.of(Codes.FINE));
+            }
+            try {
+                var next = Charter.read(bytes);
+                if (base.isEmpty()) {
+                    return Optional.of(Reply.of(Codes.BAD_CONFIG, "Based-On-Version is missing or not a number"));
+                }
+                if (base.get() != charter.revision()) {
+                    return Optional.of(Reply.of(Codes.OTHER_BASE, "the current version is " + charter.revision()));
+                }
+                if (next.revision() <= charter.revision()) {
+                    return Optional.of(Reply.of(Codes.BAD_CONFIG, "/Revision: not above the current " + charter.revision()));
+                }
+                return Optional.empty();
+            } catch (Charter.Invalid e) {
+                return Optional.of(Reply.of(Codes.BAD_CONFIG, e.getMessage()));
+            }
+        }
+    }
+
+    public Optional<Reply> elsewhere(String target) {
+        if (raft.leadsFreshly()) {
+            return Optional.empty();
+        }
+        var leader = raft.leader();
+        if (leader.isEmpty() || leader.equals(options.ip())) {
+            return Optional.of(Reply.of(Codes.NO_LEADER, "no leader yet"));
+        }
+        return Optional.of(new Reply(Codes.ELSEWHERE, "http://" + leader + ":" + Options.portOf(options.control()) + target, new byte[0]));
+    }
+
+    public Reply read() {
+        return elsewhere("/Config.Read").orElseGet(() -> {
+            synchronized (this) {
+                return new Reply(Codes.FINE, "", config.length == 0 ? "{\"Revision\":0,\"Routing\":[],\"Backends\":[]}".getBytes(StandardCharsets.UTF_8) : config);
+            }
+        });
+    }
+
+    public void retire(String node, Consumer<Reply> answer) {
+        var elsewhere = elsewhere("/Retire.Start/" + node);
+        if (elsewhere.isPresent()) {
+            answer.accept(elsewhere.get());
+            return;
+        }
+        synchronized (this) {
+            if (retiring.contains(node)) {
+                answer.accept(Reply.of(Codes.FINE));
+                return;
+            }
+            if (holders.values().stream().noneMatch(holder -> holder.member.role().equals("keeper") && nodeOf(holder.member.id()).equals(node))) {
+                answer.accept(Reply.of(Codes.NO_NODE, "no storage node " + node));
+                return;
+            }
+            if (usableKeepers().stream().filter(id -> !nodeOf(id).equals(node)).count() < 1 + options.survive()) {
+                answer.accept(Reply.of(Codes.TOO_FEW, "too few storage nodes would remain"));
+                return;
+            }
+        }
+        raft.propose(Frame.of("retire").with("node", node).pack(), done -> answer.accept(done ? Reply.of(Codes.FINE) : Reply.of(Codes.NO_LEADER, "unclear; send it again")));
+    }
+
+    public Reply retireState(String node) {
+        return elsewhere("/Retire.Read/" + node).orElseGet(() -> {
+            synchronized (this) {
+                if (!retiring.contains(node)) {
+                    return Reply.of(Codes.NO_NODE, "not retiring: " + node);
+                }
+                var holds = lines.values().stream().anyMatch(line -> List.of(line.primary(), line.backup(), line.joining()).stream().anyMatch(id -> nodeOf(id).equals(node)));
+                return new Reply(Codes.FINE, "", ("{\"State\":\"" + (holds ? "running" : "finished") + "\"}").getBytes(StandardCharsets.UTF_8));
+            }
+        });
+    }
+
+    public synchronized boolean wantsRoster() {
+        if (!raft.leadsFreshly()) {
+            return false;
+        }
+        for (var service : charter.services()) {
+            if (!service.pull() && service.endpoint().isEmpty()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    public synchronized void roster(List<Layout.Processor> fresh) {
+        var same = fresh.size() == roster.size() && fresh.stream().allMatch(now -> roster.stream().anyMatch(old -> old.id().equals(now.id()) && old.draining() == now.draining()));
+        if (!same && raft.leads()) {
+            roster = List.copyOf(fresh);
+            rosterVersion++;
+            pushNews();
+        }
+    }
+
+    public synchronized Map<Integer, Layout.Line> lines() {
+        return Map.copyOf(lines);
+    }
+
+    public synchronized Charter charter() {
+        return charter;
+    }
+}
