--- a/src/main/java/wellwheel/gallery/GalleryNode.java
+++ b/src/main/java/wellwheel/gallery/GalleryNode.java
@@ -27,8 +27,8 @@
     private static final long RETRY_US = 25_000;
     private static final long LOOK_US = 1_700_000;
     private static final long END_US = 1_500_000;
-    private static final long HEARD_US = 1_500_000;
-    private static final long BEAT_US = 500_000;
+    private static final long HEARD_US = 700_000;
+    private static final long BEAT_US = 250_000;
     private static final long QUIET_DRAIN_US = 4;
     private static final int OPEN_MOST = 8192;
 
--- a/src/main/java/wellwheel/keeper/KeeperNode.java
+++ b/src/main/java/wellwheel/keeper/KeeperNode.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Supplier;
 import wellwheel.lantern.Charter;
 import wellwheel.lantern.Claim;
 import wellwheel.lantern.Clock;
@@ -27,6 +28,7 @@
     private static final long LEG_FRESH_US = 2_500_000;
     private static final long RESEND_US = 250_000;
     private static final long LOST_US = 600_000;
+    private static final long LULL_US = 300_000;
     private static final long LEG_SLACK_US = 150_000;
     private static final long LIVE_BYTES_MOST = 64L << 20;
     private static final long LONG_JOURNAL = 48L << 20;
@@ -47,7 +49,7 @@
 
     private static final class Pending {
         final long seq;
-        final Frame record;
+        final Supplier<Frame> record;
         final boolean sync;
         final Set<String> owing = new HashSet<>();
         final Runnable then;
@@ -55,7 +57,7 @@
         long sentUs;
         boolean local;
 
-        Pending(long seq, Frame record, boolean sync, Runnable then, long nowUs) {
+        Pending(long seq, Supplier<Frame> record, boolean sync, Runnable then, long nowUs) {
             this.seq = seq;
             this.record = record;
             this.sync = sync;
@@ -74,6 +76,9 @@
         long epoch;
         long seq;
         long lastNumber;
+        long low;
+        long lowTold;
+        long spokeUs;
         final Map<String, Message> messages = new LinkedHashMap<>();
         final Map<String, ArrayDeque<Message>> orders = new HashMap<>();
         final TreeMap<Long, Pending> pending = new TreeMap<>();
@@ -150,6 +155,9 @@
     private Optional<Message> upsert(Line line, Frame record) {
         var message = line.messages.get(record.text("id"));
         if (message != null) {
+            if (record.number("rev") < message.rev) {
+                return Optional.of(message);
+            }
             message.update(record);
             if (message.state == Message.State.FINISHED) {
                 shed(message);
@@ -192,6 +200,9 @@
             return;
         }
         line.joining.ifPresent(join -> tickJoin(line, join, nowUs));
+        if (line.pending.isEmpty() && line.lowTold < line.seq && nowUs - line.spokeUs > LULL_US) {
+            tellLow(line);
+        }
         for (var pending : line.pending.values()) {
             if (pending.owing.isEmpty() || nowUs - pending.sentUs < RESEND_US) {
                 continue;
@@ -267,6 +278,7 @@
             return;
         }
         line.open = false;
+        line.low = low(line);
         line.pending.clear();
         line.joining = Optional.empty();
         line.orders.clear();
@@ -288,9 +300,13 @@
         var nowUs = claim.coreUs();
         var ordered = new ArrayList<>(line.messages.values());
         ordered.sort((a, b) -> Long.compare(a.number, b.number));
+        var unsure = ordered.stream().filter(message -> message.seq > line.low || !wasMember && line.place.whole()).toList();
+        var doubted = new HashSet<>(unsure);
+        line.seq = Math.max(line.seq, line.epoch << 32);
         for (var message : ordered) {
-            message.kept = true;
-            message.settling = false;
+            message.kept = !doubted.contains(message);
+            message.rev = Math.max(message.rev, line.epoch << 20);
+            message.settling = !message.kept;
             if (message.waiting()) {
                 enlist(line, message);
                 var maybeRunning = !message.lease.isEmpty() && !message.lease.equals(message.endedLease);
@@ -305,6 +321,13 @@
                 arrange(line, message);
             }
         }
+        unsure.forEach(message -> replicate(line, message::whole, true, () -> {
+            message.kept |= line.place.whole();
+            message.settling = false;
+            keptNow(line, message);
+            runSettleWaiters(message);
+            arrange(line, message);
+        }));
         desks.values().forEach(desk -> {
             desk.tokens = 0;
             desk.tokensAtUs = nowUs;
@@ -325,6 +348,9 @@
 
     private void reconcile(Line line, Layout.Line old) {
         var place = line.place;
+        if (place.whole() != old.whole()) {
+            LOG.log(System.Logger.Level.DEBUG, "line " + line.number + " epoch " + place.epoch() + (place.whole() ? " is whole" : " has one copy"));
+        }
         if (place.joining().isEmpty()) {
             line.joining = Optional.empty();
         } else if (line.joining.map(join -> !join.node.equals(place.joining())).orElse(true)) {
@@ -347,7 +373,7 @@
             if (message.kept) {
                 flushWaiters(message);
             } else {
-                replicate(line, message.whole(), true, () -> keptNow(line, message));
+                replicate(line, message::whole, true, () -> keptNow(line, message));
             }
         }
     }
@@ -371,9 +397,10 @@
         }
     }
 
-    private void replicate(Line line, Frame record, boolean sync, Runnable then) {
+    private void replicate(Line line, Supplier<Frame> record, boolean sync, Runnable then) {
         var pending = new Pending(++line.seq, record, sync, then, clock.steadyUs());
         line.pending.put(pending.seq, pending);
+        line.messages.get(record.get().text("id")).seq = pending.seq;
         if (line.place.whole()) {
             pending.owing.add(line.place.backup());
             sendRep(line, pending, line.place.backup());
@@ -387,7 +414,7 @@
             settle(line, pending);
             return;
         }
-        journal.append(record.pack(), () -> {
+        journal.append(record.get().pack(), () -> {
             synchronized (this) {
                 pending.local = true;
                 settle(line, pending);
@@ -396,7 +423,27 @@
     }
 
     private void sendRep(Line line, Pending pending, String node) {
-        send(node, Frame.of("rep").with("line", line.number).with("epoch", line.place.epoch()).with("seq", pending.seq).with("sync", pending.sync).with("rec", pending.record));
+        send(node, Frame.of("rep").with("line", line.number).with("epoch", line.place.epoch()).with("seq", pending.seq).with("sync", pending.sync).with("low", low(line)).with("rec", pending.record.get()));
+        line.lowTold = low(line);
+        line.spokeUs = clock.steadyUs();
+    }
+
+    private static long low(Line line) {
+        return line.pending.isEmpty() ? line.seq : line.pending.firstKey() - 1;
+    }
+
+    private void tellLow(Line line) {
+        line.lowTold = line.seq;
+        var frame = Frame.of("rep.low").with("line", line.number).with("epoch", line.place.epoch()).with("low", line.seq);
+        send(line.place.backup(), frame);
+        line.joining.filter(join -> join.spoken).ifPresent(join -> send(join.node, frame));
+    }
+
+    private void onRepLow(Frame frame) {
+        var line = line(frame.small("line"));
+        if (!line.open && line.member && frame.number("epoch") == line.epoch) {
+            line.low = Math.max(line.low, frame.number("low"));
+        }
     }
 
     private void settle(Line line, Pending pending) {
@@ -410,6 +457,7 @@
         switch (frame.kind()) {
             case "claim.ok", "claim.no", "news" -> claim.onFrame(from, frame);
             case "rep" -> onRep(from, frame);
+            case "rep.low" -> onRepLow(frame);
             case "rep.ok" -> onRepOk(frame);
             case "rep.no" -> onRepNo(frame);
             case "join.ask" -> onJoinAsk(from, frame);
@@ -450,7 +498,9 @@
             return;
         }
         var record = frame.inner("rec");
-        upsert(line, record);
+        line.seq = Math.max(line.seq, frame.number("seq"));
+        line.low = Math.max(line.low, frame.number("low"));
+        upsert(line, record).ifPresent(message -> message.seq = Math.max(message.seq, frame.number("seq")));
         var ok = Frame.of("rep.ok").with("line", line.number).with("seq", frame.number("seq")).with("epoch", epoch).with("from", id);
         if (frame.flag("sync")) {
             journal.append(record.pack(), () -> wire.send(from, ok));
@@ -491,6 +541,7 @@
         line.epoch = frame.number("epoch");
         stepDown(line);
         line.member = true;
+        line.low = 0;
         var have = new ArrayList<Object>();
         line.messages.values().forEach(message -> have.add(new Frame().with("id", message.id).with("v", message.version())
             .with("seal", message.seal).with("state", message.state.ordinal()).with("ended", message.endedUs)));
@@ -521,13 +572,13 @@
             var theirs = have.get(message.id);
             if (theirs == null || !theirs.equals(message.version()) || !message.lease.isEmpty()) {
                 join.owed++;
-                handOver(line, join, theirs == null ? message.whole() : message.change());
+                handOver(line, join, theirs == null ? message::whole : message::change);
             }
         }
         levelled(line, join);
     }
 
-    private void handOver(Line line, Joining join, Frame record) {
+    private void handOver(Line line, Joining join, Supplier<Frame> record) {
         var pending = new Pending(++line.seq, record, true, () -> levelled(line, join), clock.steadyUs());
         pending.local = true;
         pending.owing.add(join.node);
@@ -567,14 +618,14 @@
             return;
         }
         var nowUs = claim.coreUs();
-        frame.with("no", ++line.lastNumber).with("due", nowUs + frame.number("delay")).with("expire", nowUs + frame.number("keep"));
+        frame.with("rev", line.epoch << 20).with("no", ++line.lastNumber).with("due", nowUs + frame.number("delay")).with("expire", nowUs + frame.number("keep"));
         var message = new Message(frame.with("state", 0L));
         line.messages.put(message.id, message);
         liveBytes += message.body.length;
         message.nextUs = message.dueUs;
         enlist(line, message);
         answerPut(line, message, from, rid);
-        replicate(line, message.whole(), true, () -> keptNow(line, message));
+        replicate(line, message::whole, true, () -> keptNow(line, message));
     }
 
     private void answerPut(Line line, Message message, String from, long rid) {
@@ -590,7 +641,7 @@
     }
 
     private void keptNow(Line line, Message message) {
-        if (message.kept || !line.place.whole()) {
+        if (!line.place.whole()) {
             return;
         }
         message.kept = true;
@@ -635,7 +686,7 @@
             return;
         }
         if (nowUs >= message.expireUs) {
-            finish(line, message, Message.State.FAILED, "", "", () -> { });
+            fail(line, message, "its KeepForS is over");
             return;
         }
         var atUs = Math.max(message.nextUs, message.dueUs);
@@ -672,7 +723,7 @@
         var path = claim.charter().path(message.host, message.target);
         if (path.isEmpty()) {
             if (claim.charter().revision() > 0) {
-                finish(line, message, Message.State.FAILED, "", "", () -> { });
+                fail(line, message, "its path was dropped");
             }
             return;
         }
@@ -776,10 +827,11 @@
         var line = line(message.line);
         message.running = true;
         message.leg++;
+        message.rev++;
         message.lease = line.number + "." + line.place.epoch() + "." + message.leg;
         message.untilUs = claim.coreUs() + runUs;
         var lease = message.lease;
-        replicate(line, message.change(), false, () -> {
+        replicate(line, message::change, false, () -> {
             if (line.open && message.lease.equals(lease)) {
                 start.start(line, message);
             }
@@ -821,8 +873,9 @@
     private void unrun(Line line, Message message, long waitUs) {
         message.running = false;
         message.endedLease = message.lease;
+        message.rev++;
         message.nextUs = claim.coreUs() + waitUs;
-        replicate(line, message.change(), false, () -> { });
+        replicate(line, message::change, false, () -> { });
         arrange(line, message);
     }
 
@@ -957,15 +1010,16 @@
     }
 
     private void failed(Line line, Message message, String lease, Runnable then) {
-        var tries = claim.charter().path(message.host, message.target).map(Charter.Path::tries).orElse(1);
+        var tries = claim.charter().path(message.host, message.target).map(Charter.Path::tries).orElse(Integer.MAX_VALUE);
         message.fails++;
+        message.rev++;
         if (message.fails >= tries) {
             finish(line, message, Message.State.FAILED, "", lease, then);
             return;
         }
         message.endedLease = lease;
         message.settling = true;
-        replicate(line, message.change(), true, () -> {
+        replicate(line, message::change, true, () -> {
             message.nextUs = claim.coreUs() + (long) (Math.min(1_000_000, 20_000L << Math.min(6, message.fails)) * (0.5 + luck.nextDouble()));
             settled(message, then);
             arrange(line, message);
@@ -973,18 +1027,24 @@
     }
 
     private void finish(Line line, Message message, Message.State state, String seal, String lease, Runnable then) {
+        message.rev++;
         message.state = state;
         message.seal = seal;
         message.endedLease = lease;
         message.endedUs = claim.coreUs();
         message.settling = true;
         message.stamp++;
-        replicate(line, message.change(), true, () -> {
+        replicate(line, message::change, true, () -> {
             settled(message, then);
             nextInOrder(line, message);
         });
     }
 
+    private void fail(Line line, Message message, String why) {
+        LOG.log(System.Logger.Level.INFO, "message " + message.id + " ends unserved: " + why);
+        finish(line, message, Message.State.FAILED, "", "", () -> { });
+    }
+
     private void settled(Message message, Runnable then) {
         message.settling = false;
         message.running = false;
@@ -992,6 +1052,10 @@
             shed(message);
         }
         then.run();
+        runSettleWaiters(message);
+    }
+
+    private static void runSettleWaiters(Message message) {
         var waiters = List.copyOf(message.settleWaiters);
         message.settleWaiters.clear();
         waiters.forEach(Runnable::run);
@@ -1153,7 +1217,9 @@
         return lines.values().stream().mapToInt(line -> line.messages.size()).sum();
     }
 
-    public synchronized List<Integer> openLines() {
-        return lines.values().stream().filter(line -> line.open).map(line -> line.number).toList();
+    public synchronized Map<Integer, Long> openEpochs() {
+        var found = new TreeMap<Integer, Long>();
+        lines.values().stream().filter(line -> line.open).forEach(line -> found.put(line.number, line.epoch));
+        return found;
     }
 }
--- a/src/main/java/wellwheel/keeper/Message.java
+++ b/src/main/java/wellwheel/keeper/Message.java
@@ -25,6 +25,8 @@
     long endedUs;
     int fails;
     long leg;
+    long rev;
+    long seq;
     String lease = "";
     long untilUs;
     String endedLease = "";
@@ -61,6 +63,7 @@
         endedUs = frame.number("ended");
         fails = frame.small("fails");
         leg = frame.number("leg");
+        rev = frame.number("rev");
         lease = frame.text("lease");
         untilUs = frame.number("until");
         endedLease = frame.text("endedLease");
@@ -73,7 +76,7 @@
 
     Frame change() {
         return Frame.of("u").with("line", line).with("id", id).with("state", state.ordinal()).with("seal", seal).with("ended", endedUs)
-            .with("fails", fails).with("leg", leg).with("lease", lease).with("until", untilUs).with("endedLease", endedLease);
+            .with("fails", fails).with("leg", leg).with("rev", rev).with("lease", lease).with("until", untilUs).with("endedLease", endedLease);
     }
 
     boolean waiting() {
@@ -85,6 +88,6 @@
     }
 
     String version() {
-        return state.ordinal() + "." + fails + "." + leg + "." + endedLease;
+        return state.ordinal() + "." + fails + "." + rev;
     }
 }
--- a/src/main/java/wellwheel/lantern/Claim.java
+++ b/src/main/java/wellwheel/lantern/Claim.java
@@ -8,7 +8,7 @@
 public final class Claim {
     private static final System.Logger LOG = System.getLogger("claim");
     private static final long RENEW_US = 400_000;
-    private static final long RETRY_US = 200_000;
+    private static final long RETRY_US = 120_000;
     private final Clock clock;
     private final Wire wire;
     private final String id;
--- a/src/main/java/wellwheel/lantern/Frame.java
+++ b/src/main/java/wellwheel/lantern/Frame.java
@@ -120,10 +120,12 @@
             packer.packBinaryHeader(b.length);
             packer.writePayload(b);
         } else if (value instanceof Frame f) {
-            packer.packMapHeader(f.fields.size());
+            packer.packMapHeader((int) f.fields.values().stream().filter(Frame::telling).count());
             for (var entry : f.fields.entrySet()) {
-                packer.packString(entry.getKey());
-                packValue(packer, entry.getValue());
+                if (telling(entry.getValue())) {
+                    packer.packString(entry.getKey());
+                    packValue(packer, entry.getValue());
+                }
             }
         } else if (value instanceof List<?> list) {
             packer.packArrayHeader(list.size());
@@ -135,6 +137,10 @@
         }
     }
 
+    private static boolean telling(Object value) {
+        return !(value.equals("") || value.equals(0L) || value.equals(false) || value instanceof byte[] b && b.length == 0);
+    }
+
     private static Object unpackValue(MessageUnpacker unpacker, int depth) throws IOException {
         if (depth > 8) {
             throw new IOException("too deep");
--- a/src/main/java/wellwheel/lantern/Station.java
+++ b/src/main/java/wellwheel/lantern/Station.java
@@ -47,6 +47,11 @@
         }
     }
 
+    public static Station with(Options options) {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        return new Station(options);
+    }
+
     public Options options() {
         return options;
     }
--- a/src/main/java/wellwheel/lighthouse/Lighthouse.java
+++ b/src/main/java/wellwheel/lighthouse/Lighthouse.java
@@ -10,11 +10,12 @@
 
     private Lighthouse() { }
 
-    public static void main(String[] arguments) throws InterruptedException {
+    public static void main(String[] arguments) throws Exception {
         var role = arguments.length == 1 ? arguments[0] : "";
         switch (role) {
             case "gallery" -> new Gallery(Station.start());
             case "keeper" -> new Keeper(Station.start());
+            case "warmup" -> Warmup.run();
             default -> {
                 LOG.log(System.Logger.Level.ERROR, "usage: lighthouse gallery|keeper");
                 System.exit(USAGE_STATUS);
--- a/src/main/java/wellwheel/pilot/Pilot.java
+++ b/src/main/java/wellwheel/pilot/Pilot.java
@@ -33,7 +33,7 @@
     private long lastPollUs;
     private long leftUs;
 
-    private Pilot(Station station) throws InterruptedException {
+    public Pilot(Station station) throws InterruptedException {
         this.station = station;
         var options = station.options();
         var links = new Links(options.ip(), options.innerPort(), station.loop(), station.clock());
--- a/src/main/java/wellwheel/pilot/PilotNode.java
+++ b/src/main/java/wellwheel/pilot/PilotNode.java
@@ -361,6 +361,7 @@
             return;
         }
         planning = true;
+        LOG.log(System.Logger.Level.INFO, "moves " + changes.size() + " lines, first " + changes.get(0));
         var command = Frame.of("lines").with("lines", changes.stream().map(Layout.Line::frame).toList()).pack();
         raft.propose(command, done -> {
             synchronized (this) {
--- a/src/main/java/wellwheel/pilot/Raft.java
+++ b/src/main/java/wellwheel/pilot/Raft.java
@@ -20,6 +20,7 @@
     private static final System.Logger LOG = System.getLogger("raft");
     private static final long BEAT_US = 150_000;
     private static final long ELECTION_US = 700_000;
+    private static final long FIRST_ELECTION_US = 200_000;
     private static final long QUORUM_FRESH_US = 600_000;
     private static final long LONG_JOURNAL = 8 << 20;
     private static final int BATCH = 64;
@@ -103,7 +104,7 @@
             host.restore(snapState);
         }
         heardLeaderUs = clock.steadyUs() - ELECTION_US;
-        resetElection();
+        electionAtUs = clock.steadyUs() + FIRST_ELECTION_US + (long) (luck.nextDouble() * FIRST_ELECTION_US);
     }
 
     private void recover(Frame record) {
--- /dev/null
+++ b/src/main/java/wellwheel/tide/World.java
@@ -0,0 +1,568 @@
+package wellwheel.tide;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import wellwheel.gallery.GalleryNode;
+import wellwheel.keeper.Courier;
+import wellwheel.keeper.KeeperNode;
+import wellwheel.lantern.Clock;
+import wellwheel.lantern.Disk;
+import wellwheel.lantern.Exchange;
+import wellwheel.lantern.Frame;
+import wellwheel.lantern.Options;
+import wellwheel.lantern.Wire;
+import wellwheel.pilot.PilotNode;
+
+public final class World {
+    private static final long TICK_US = 50_000;
+    private static final long RESTART_US = 600_000;
+    private static final long GRACE_US = 5_500_000;
+
+    public record Shape(List<String> zones, int galleriesPerZone, int keepers, long inZoneUs, long crossZoneUs, long syncUs, long restartUs, long syncEveryUs) {
+        public static Shape three() {
+            return new Shape(List.of("north", "east", "south"), 1, 3, 200, 900, 700, RESTART_US, 100_000);
+        }
+    }
+
+    private record Event(long atUs, long turn, Runnable task) { }
+
+    public final class Host {
+        public final String name;
+        public final String role;
+        public final String ip;
+        public final String zone;
+        final SimDisk disk = new SimDisk();
+        int life;
+        boolean up;
+        boolean powered = true;
+        boolean firstBoot = true;
+        long wallSkewUs;
+        Optional<PilotNode> pilot = Optional.empty();
+        Optional<KeeperNode> keeper = Optional.empty();
+        Optional<GalleryNode> gallery = Optional.empty();
+
+        Host(String name, String role, String ip, String zone) {
+            this.name = name;
+            this.role = role;
+            this.ip = ip;
+            this.zone = zone;
+        }
+
+        public KeeperNode keeper() {
+            return keeper.orElseThrow();
+        }
+
+        public GalleryNode gallery() {
+            return gallery.orElseThrow();
+        }
+
+        public PilotNode pilot() {
+            return pilot.orElseThrow();
+        }
+
+        public boolean up() {
+            return up;
+        }
+
+        void start() {
+            life++;
+            up = true;
+            powered = true;
+            var options = options(this);
+            var clock = new SimClock(this, life);
+            var wire = new SimWire(this, life);
+            var bound = disk.bind(this, life);
+            switch (role) {
+                case "pilot" -> pilot = Optional.of(new PilotNode(options, clock, wire, bound, luck.nextLong()));
+                case "keeper" -> keeper = Optional.of(new KeeperNode(options, clock, wire, bound, new SimCourier(this, life), luck.nextLong()));
+                default -> gallery = Optional.of(new GalleryNode(options, clock, wire, luck.nextLong()));
+            }
+            firstBoot = false;
+            tick(life);
+        }
+
+        private void tick(int atLife) {
+            if (!up || life != atLife) {
+                return;
+            }
+            pilot.ifPresent(PilotNode::tick);
+            keeper.ifPresent(KeeperNode::tick);
+            gallery.ifPresent(GalleryNode::tick);
+            at(nowUs + (role.equals("gallery") ? TICK_US / 2 : TICK_US), () -> tick(atLife));
+        }
+
+        Optional<Wire.Ear> ear() {
+            if (!up) {
+                return Optional.empty();
+            }
+            return pilot.map(node -> (Wire.Ear) node).or(() -> keeper.map(node -> (Wire.Ear) node)).or(() -> gallery.map(node -> (Wire.Ear) node));
+        }
+
+        void end() {
+            up = false;
+            life++;
+            pilot = Optional.empty();
+            keeper = Optional.empty();
+            gallery = Optional.empty();
+            List.copyOf(openPulls).forEach(pull -> pull.hostGone(this));
+        }
+    }
+
+    private final class SimClock implements Clock {
+        private final Host host;
+        private final int life;
+
+        SimClock(Host host, int life) {
+            this.host = host;
+            this.life = life;
+        }
+
+        @Override
+        public long steadyUs() {
+            return nowUs;
+        }
+
+        @Override
+        public long wallUs() {
+            return nowUs + 1_700_000_000_000_000L + host.wallSkewUs;
+        }
+
+        @Override
+        public Schedule after(long waitUs, Runnable task) {
+            var live = new boolean[] {true};
+            at(nowUs + Math.max(1, waitUs), () -> {
+                if (live[0] && host.up && host.life == life) {
+                    task.run();
+                }
+            });
+            return () -> live[0] = false;
+        }
+    }
+
+    private final class SimWire implements Wire {
+        private final Host host;
+        private final int life;
+
+        SimWire(Host host, int life) {
+            this.host = host;
+            this.life = life;
+        }
+
+        @Override
+        public void send(String peerIp, Frame frame) {
+            if (peerIp.isEmpty() || host.life != life) {
+                return;
+            }
+            var bytes = frame.pack();
+            var peer = hosts.get(peerIp);
+            if (peer == null) {
+                return;
+            }
+            frames++;
+            if (!peer.zone.equals(host.zone)) {
+                crossBytes += bytes.length + 4;
+            }
+            if (cut(host.ip, peerIp) || !peer.powered) {
+                loseLater(peerIp, 750_000);
+                return;
+            }
+            if (!peer.up) {
+                loseLater(peerIp, 2_000);
+                at(nowUs + 2_000, () -> tell(ear -> ear.onUnsent(peerIp, frame)));
+                return;
+            }
+            var link = host.ip + ">" + peerIp;
+            var peerLife = peer.life;
+            var atUs = Math.max(linkFreeUs.getOrDefault(link, 0L), nowUs + delayUs(host.zone, peer.zone));
+            linkFreeUs.put(link, atUs);
+            at(atUs, () -> {
+                if (peer.life == peerLife && !cut(host.ip, peerIp)) {
+                    peer.ear().ifPresent(ear -> ear.onFrame(host.ip, Frame.unpack(bytes)));
+                }
+            });
+        }
+
+        private void loseLater(String peerIp, long waitUs) {
+            at(nowUs + waitUs, () -> tell(ear -> ear.onDown(peerIp)));
+        }
+
+        private void tell(Consumer<Ear> what) {
+            if (host.life == life) {
+                host.ear().ifPresent(what);
+            }
+        }
+    }
+
+    private static final class SimFile {
+        byte[] synced = {};
+        final List<byte[]> written = new ArrayList<>();
+    }
+
+    private final class SimDisk {
+        final Map<String, SimFile> files = new HashMap<>();
+
+        SimFile file(String name) {
+            return files.computeIfAbsent(name, n -> new SimFile());
+        }
+
+        Disk bind(Host host, int life) {
+            return new Disk() {
+                @Override
+                public byte[] load(String name) {
+                    var out = new ByteArrayOutputStream();
+                    out.writeBytes(file(name).synced);
+                    file(name).written.forEach(out::writeBytes);
+                    file(name).synced = out.toByteArray();
+                    file(name).written.clear();
+                    return file(name).synced;
+                }
+
+                @Override
+                public void append(String name, byte[] bytes, Runnable synced) {
+                    file(name).written.add(bytes);
+                    syncs++;
+                    at(nowUs + shape.syncUs(), () -> {
+                        if (host.life == life) {
+                            var file = file(name);
+                            if (file.written.remove(bytes)) {
+                                file.synced = joined(file.synced, bytes);
+                            }
+                            synced.run();
+                        }
+                    });
+                }
+
+                @Override
+                public void rewrite(String name, byte[] whole, Runnable synced) {
+                    file(name).written.clear();
+                    file(name).synced = whole;
+                    at(nowUs + 2 * shape.syncUs(), () -> {
+                        if (host.life == life) {
+                            synced.run();
+                        }
+                    });
+                }
+            };
+        }
+
+        void losePower() {
+            files.values().forEach(file -> {
+                var out = new ByteArrayOutputStream();
+                out.writeBytes(file.synced);
+                for (var bytes : file.written) {
+                    switch (luck.nextInt(3)) {
+                        case 0 -> out.writeBytes(bytes);
+                        case 1 -> out.writeBytes(Arrays.copyOf(Arrays.copyOf(bytes, luck.nextInt(bytes.length + 1)), bytes.length));
+                        default -> { }
+                    }
+                }
+                file.synced = out.toByteArray();
+                file.written.clear();
+            });
+        }
+    }
+
+    private static byte[] joined(byte[] first, byte[] second) {
+        var whole = Arrays.copyOf(first, first.length + second.length);
+        System.arraycopy(second, 0, whole, first.length, second.length);
+        return whole;
+    }
+
+    public interface Processors {
+        Optional<Courier.Outcome> run(Courier.Leg leg, long atUs);
+
+        long workUs();
+    }
+
+    private final class SimCourier implements Courier {
+        private final Host host;
+        private final int life;
+
+        SimCourier(Host host, int life) {
+            this.host = host;
+            this.life = life;
+        }
+
+        @Override
+        public void deliver(Leg leg, Consumer<Outcome> done) {
+            at(nowUs + 1_000, () -> {
+                var outcome = processors.run(leg, nowUs);
+                var waitUs = outcome.isPresent() ? outcome.get().result() == Result.NOT_RUN ? 500 : processors.workUs() : leg.giveUpUs() + 60_000;
+                at(nowUs + waitUs, () -> {
+                    if (host.life == life) {
+                        done.accept(outcome.orElse(new Outcome(Result.UNKNOWN, "", "")));
+                    }
+                });
+            });
+        }
+
+        @Override
+        public void forget(String address) { }
+    }
+
+    public final class Ask implements Exchange {
+        private final String method;
+        private final String target;
+        private final Map<String, String> headers;
+        private final byte[] body;
+        private final Host host;
+        private final int life;
+        private final Consumer<Optional<Answer>> done;
+        private boolean over;
+
+        Ask(Host host, String method, String target, Map<String, String> headers, byte[] body, Consumer<Optional<Answer>> done) {
+            this.host = host;
+            this.life = host.life;
+            this.method = method;
+            this.target = target;
+            this.headers = headers;
+            this.body = body;
+            this.done = done;
+        }
+
+        @Override
+        public String method() {
+            return method;
+        }
+
+        @Override
+        public String target() {
+            return target;
+        }
+
+        @Override
+        public Optional<String> header(String name) {
+            return Optional.ofNullable(headers.get(name));
+        }
+
+        @Override
+        public byte[] body() {
+            return body;
+        }
+
+        @Override
+        public void answer(Answer answer) {
+            finish(Optional.of(answer));
+        }
+
+        @Override
+        public boolean open() {
+            return !over;
+        }
+
+        @Override
+        public void onClose(Runnable task) { }
+
+        void hostGone(Host gone) {
+            if (host == gone) {
+                finish(Optional.empty());
+            }
+        }
+
+        private void finish(Optional<Answer> answer) {
+            if (over) {
+                return;
+            }
+            over = true;
+            openPulls.remove(this);
+            at(nowUs + 300, () -> done.accept(answer));
+        }
+    }
+
+    private final Shape shape;
+    private final Random luck;
+    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.atUs() != b.atUs() ? Long.compare(a.atUs(), b.atUs()) : Long.compare(a.turn(), b.turn()));
+    private final Map<String, Host> hosts = new LinkedHashMap<>();
+    private final Map<String, Long> linkFreeUs = new HashMap<>();
+    private final Set<String> cuts = new HashSet<>();
+    private final Set<Ask> openPulls = new java.util.LinkedHashSet<>();
+    private Processors processors;
+    private long nowUs = 1_000_000;
+    private long turn;
+    private long frames;
+    private long crossBytes;
+    private long syncs;
+
+    public World(Shape shape, long seed, Processors processors) {
+        this.shape = shape;
+        this.luck = new Random(seed);
+        this.processors = processors;
+        var number = 1;
+        for (var index = 0; index < 3; index++) {
+            add("core-" + (index + 1), "pilot", "10.0.0." + number++, shape.zones().get(index % shape.zones().size()));
+        }
+        for (var index = 0; index < shape.keepers(); index++) {
+            add("storage-" + (index + 1), "keeper", "10.0.0." + number++, shape.zones().get(index % shape.zones().size()));
+        }
+        for (var zone : shape.zones()) {
+            for (var index = 0; index < shape.galleriesPerZone(); index++) {
+                add("edge-" + zone + "-" + (index + 1), "gallery", "10.0.0." + number++, zone);
+            }
+        }
+        hosts.values().forEach(host -> at(nowUs + 1 + luck.nextInt(400_000), host::start));
+    }
+
+    private void add(String name, String role, String ip, String zone) {
+        hosts.put(ip, new Host(name, role, ip, zone));
+    }
+
+    private Options options(Host host) {
+        var seeds = hosts.values().stream().filter(each -> each.role.equals("pilot")).map(each -> "\"" + each.ip + ":8741\"").toList();
+        try {
+            return Options.read("{\"NodeName\":\"" + host.name + "\",\"Ip\":\"" + host.ip + "\",\"Zone\":\"" + host.zone + "\",\"ListenOn\":{\"Control\":\"" + host.ip + ":8741\"},"
+                + "\"InternalPorts\":[7100,7115],\"SeedNodes\":" + seeds + ",\"FirstBoot\":" + host.firstBoot + ",\"Survive\":{\"Machines\":1},\"Admission\":{\"SyncEveryMs\":" + shape.syncEveryUs() / 1000 + "}}");
+        } catch (Options.Unusable e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private long delayUs(String from, String to) {
+        var baseUs = from.equals(to) ? shape.inZoneUs() : shape.crossZoneUs();
+        return baseUs + luck.nextInt((int) Math.max(1, baseUs / 4)) + (luck.nextInt(400) == 0 ? luck.nextInt(30_000) : 0);
+    }
+
+    public void at(long atUs, Runnable task) {
+        events.add(new Event(Math.max(atUs, nowUs), turn++, task));
+    }
+
+    public void after(long waitUs, Runnable task) {
+        at(nowUs + waitUs, task);
+    }
+
+    public void runFor(long spanUs) {
+        runFor(spanUs, () -> { });
+    }
+
+    public void runFor(long spanUs, Runnable check) {
+        var untilUs = nowUs + spanUs;
+        var checkedUs = nowUs;
+        while (!events.isEmpty() && events.peek().atUs() <= untilUs) {
+            var event = events.poll();
+            nowUs = event.atUs();
+            event.task().run();
+            if (nowUs - checkedUs > 10_000) {
+                checkedUs = nowUs;
+                check.run();
+            }
+        }
+        nowUs = untilUs;
+    }
+
+    public long nowUs() {
+        return nowUs;
+    }
+
+    public Random luck() {
+        return luck;
+    }
+
+    public long crossBytes() {
+        return crossBytes;
+    }
+
+    public long frames() {
+        return frames;
+    }
+
+    public List<Host> hosts(String role) {
+        return hosts.values().stream().filter(host -> host.role.equals(role)).toList();
+    }
+
+    public List<Host> upHosts(String role) {
+        return hosts(role).stream().filter(Host::up).toList();
+    }
+
+    public Optional<Host> leader() {
+        return upHosts("pilot").stream().filter(host -> host.pilot().raft().leadsFreshly()).findFirst();
+    }
+
+    public void kill(Host host) {
+        host.end();
+        after(shape.restartUs(), () -> restart(host));
+    }
+
+    private void restart(Host host) {
+        if (!host.up) {
+            host.start();
+        }
+    }
+
+    public void powerOff(Host host, long darkUs) {
+        host.end();
+        host.powered = false;
+        host.disk.losePower();
+        after(darkUs, () -> restart(host));
+    }
+
+    public void wipe(Host host, long darkUs) {
+        powerOff(host, darkUs);
+        host.disk.files.clear();
+    }
+
+    public void term(Host host) {
+        if (!host.up) {
+            return;
+        }
+        var life = host.life;
+        host.keeper.ifPresent(KeeperNode::leave);
+        host.gallery.ifPresent(GalleryNode::leave);
+        awaitLeave(host, life, nowUs + GRACE_US);
+    }
+
+    private void awaitLeave(Host host, int life, long lastUs) {
+        after(TICK_US, () -> {
+            if (!host.up || host.life != life) {
+                return;
+            }
+            var may = host.keeper.map(KeeperNode::mayLeave).orElse(true) && host.pilot.map(pilot -> pilot.raft().leave()).orElse(true);
+            if (may || nowUs > lastUs) {
+                after(host.pilot.isPresent() ? 150_000 : 1_000, () -> kill(host));
+            } else {
+                awaitLeave(host, life, lastUs);
+            }
+        });
+    }
+
+    public void cutOff(Host host, long spanUs) {
+        cuts.add(host.ip);
+        after(spanUs, () -> cuts.remove(host.ip));
+    }
+
+    public void skew(Host host, long stepUs) {
+        host.wallSkewUs += stepUs;
+    }
+
+    private boolean cut(String one, String other) {
+        return !one.equals(other) && (cuts.contains(one) || cuts.contains(other));
+    }
+
+    public void ask(Host host, String method, String target, Map<String, String> headers, byte[] body, Consumer<Optional<Exchange.Answer>> done) {
+        if (!host.up) {
+            after(1_000, () -> done.accept(Optional.empty()));
+            return;
+        }
+        var ask = new Ask(host, method, target, headers, body, done);
+        openPulls.add(ask);
+        var life = host.life;
+        after(300, () -> {
+            if (host.up && host.life == life) {
+                host.gallery().onExchange(ask);
+            }
+        });
+    }
+
+    public void configure(byte[] config, long base, Consumer<PilotNode.Reply> done) {
+        leader().ifPresentOrElse(host -> host.pilot().replace(config, Optional.of(base), reply -> at(nowUs, () -> done.accept(reply))), () -> after(100_000, () -> configure(config, base, done)));
+    }
+}
--- /dev/null
+++ b/src/test/java/wellwheel/tide/ClusterTest.java
@@ -0,0 +1,415 @@
+package wellwheel.tide;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import wellwheel.lantern.Codes;
+import wellwheel.lantern.Exchange;
+
+class ClusterTest {
+    private static final long SECOND = 1_000_000;
+
+    private static final class Play {
+        final Ledger ledger = new Ledger();
+        final World world;
+        long sent;
+        long stopSendingUs;
+        long stopWorkersUs = Long.MAX_VALUE;
+        String key = "key-one";
+
+        Play(long seed) {
+            world = new World(World.Shape.three(), seed, ledger);
+            ledger.world = world;
+        }
+
+        Play up() {
+            feedRoster();
+            world.runFor(5 * SECOND);
+            var taken = new ArrayList<Codes>();
+            world.configure(Ledger.config(1, key, 4).getBytes(StandardCharsets.UTF_8), 0, reply -> taken.add(reply.code()));
+            world.runFor(2 * SECOND);
+            assertThat(taken).containsExactly(Codes.FINE);
+            for (var slot = 0; slot < 24; slot++) {
+                worker();
+            }
+            return this;
+        }
+
+        void feedRoster() {
+            world.leader().ifPresent(host -> host.pilot().roster(ledger.roster()));
+            world.after(300_000, this::feedRoster);
+        }
+
+        World.Host anyGallery() {
+            var all = world.hosts("gallery");
+            return all.get(world.luck().nextInt(all.size()));
+        }
+
+        void load(long spanUs) {
+            stopSendingUs = world.nowUs() + spanUs;
+            hand();
+        }
+
+        void hand() {
+            if (world.nowUs() >= stopSendingUs) {
+                return;
+            }
+            var service = List.of("quote", "quote", "book", "carrier").get(world.luck().nextInt(4));
+            if (!service.equals("carrier") || sent % 3 == 0) {
+                handIn(service, service.equals("book") ? "thing-" + world.luck().nextInt(12) : "");
+            }
+            sent++;
+            world.after(5_000 + world.luck().nextInt(10_000), this::hand);
+        }
+
+        void handIn(String service, String orderKey) {
+            var entry = new Ledger.Entry("m" + ledger.entries.size(), service, orderKey, world.nowUs());
+            ledger.entries.put(entry.id, entry);
+            ledger.byKey.computeIfAbsent(orderKey, k -> new ArrayList<>()).add(entry);
+            var headers = new HashMap<>(Map.of("Host", Ledger.HOST, "Attempt-Id", entry.id, "Authorization", "Bearer " + key, "Time-Left-Ms", "1200"));
+            if (!orderKey.isEmpty()) {
+                headers.put("Order-Key", orderKey);
+            }
+            world.ask(anyGallery(), "POST", "/" + service + "/x", headers, entry.body, answer -> answered(entry, answer));
+        }
+
+        void answered(Ledger.Entry entry, Optional<Exchange.Answer> answer) {
+            var status = answer.map(each -> each.code().status()).orElse(0);
+            if (status == 202) {
+                entry.acceptedUs = world.nowUs();
+                entry.name = answer.get().headers().get(1);
+            } else if (status == 503 || status == 429) {
+                entry.promisedNotToRun = true;
+                if (entry.firstStartUs < Long.MAX_VALUE) {
+                    ledger.faults.add("REFUSED after a run " + entry.id);
+                }
+            }
+        }
+
+        void worker() {
+            if (world.nowUs() >= stopWorkersUs) {
+                return;
+            }
+            world.ask(anyGallery(), "POST", "/pull/quote", Map.of("Host", "any", "Server-Id", "w", "Wait-Ms", "1000"), new byte[0], answer -> {
+                if (answer.isPresent() && answer.get().code() == Codes.FINE) {
+                    work(answer.get());
+                } else {
+                    world.after(answer.isPresent() ? 1_000 : 200_000, this::worker);
+                }
+            });
+        }
+
+        void work(Exchange.Answer job) {
+            var headers = new HashMap<String, String>();
+            for (var i = 0; i < job.headers().size(); i += 2) {
+                headers.put(job.headers().get(i), job.headers().get(i + 1));
+            }
+            var entry = ledger.entries.get(headers.get("Attempt-Id"));
+            assertThat(new String(job.body(), StandardCharsets.UTF_8)).isEqualTo("body of " + entry.id);
+            assertThat(headers.get("Customer")).isEqualTo("acme");
+            ledger.starts(entry, world.nowUs());
+            var fails = world.luck().nextInt(30) == 0;
+            world.after(50_000 + world.luck().nextInt(400_000), () -> end(entry, headers.get("Lease"), fails ? "500" : "200", "seal-" + headers.get("Lease"), 40));
+        }
+
+        void end(Ledger.Entry entry, String lease, String result, String seal, int tries) {
+            world.ask(anyGallery(), "POST", "/job-end/" + entry.id, Map.of("Host", "any", "Lease", lease, "Job-Result", result, "Server-Seal", seal), new byte[0], answer -> {
+                var status = answer.map(each -> each.code().status()).orElse(0);
+                if (status == 200) {
+                    ended(entry, lease, result, seal);
+                } else if (status != 409 && tries > 0) {
+                    world.after(200_000, () -> end(entry, lease, result, seal, tries - 1));
+                    return;
+                }
+                worker();
+            });
+        }
+
+        void ended(Ledger.Entry entry, String lease, String result, String seal) {
+            entry.endedLeases.add(lease + " " + result);
+            if (result.equals("200")) {
+                if (entry.successes > 0) {
+                    ledger.faults.add("TWICE " + entry.id + " " + entry.endedLeases);
+                }
+                ledger.succeeds(entry, seal, world.nowUs());
+            } else {
+                entry.fails++;
+            }
+        }
+
+        void oneActs() {
+            var seen = new HashMap<String, String>();
+            world.upHosts("keeper").forEach(host -> host.keeper().openEpochs().forEach((line, epoch) -> {
+                var other = seen.put(line + "@" + epoch, host.name);
+                assertWithMessage("two primaries of line " + line + " in epoch " + epoch).that(other).isNull();
+            }));
+        }
+
+        void run(long spanUs) {
+            world.runFor(spanUs, this::oneActs);
+        }
+
+        Map<String, String> states() {
+            var found = new HashMap<String, String>();
+            ledger.entries.values().stream().filter(entry -> entry.acceptedUs < Long.MAX_VALUE).forEach(entry -> look(entry, found, 5));
+            run(15 * SECOND);
+            return found;
+        }
+
+        void look(Ledger.Entry entry, Map<String, String> found, int tries) {
+            var headers = Map.of("Host", Ledger.HOST, "Authorization", "Bearer " + key);
+            world.ask(anyGallery(), "GET", "/message/" + (world.luck().nextBoolean() ? entry.name : entry.id), headers, new byte[0], answer -> {
+                if (answer.isPresent() && answer.get().code() == Codes.FINE) {
+                    found.put(entry.id, new String(answer.get().body(), StandardCharsets.UTF_8));
+                } else if (tries > 0) {
+                    world.after(500_000, () -> look(entry, found, tries - 1));
+                }
+            });
+        }
+
+        void settle() {
+            run(25 * SECOND);
+            ledger.clean();
+            var states = states();
+            for (var entry : ledger.entries.values()) {
+                if (entry.acceptedUs == Long.MAX_VALUE) {
+                    continue;
+                }
+                var state = states.getOrDefault(entry.id, "lost");
+                if (state.contains("finished")) {
+                    var seal = state.replaceAll(".*\"Seal\":\"([^\"]*)\".*", "$1");
+                    assertWithMessage(entry.id + " " + state).that(entry.seals).contains(seal);
+                } else {
+                    assertWithMessage(entry.id + " " + entry.service + " " + state).that(state).contains("failed");
+                    assertWithMessage(entry.id + " said to be failed").that(entry.fails).isAtLeast(4);
+                }
+            }
+            ledger.clean();
+            assertThat(ledger.most(5 * SECOND)).isAtMost((long) (25 * 5 * 1.1 + 5));
+        }
+
+        long accepted() {
+            return ledger.entries.values().stream().filter(entry -> entry.acceptedUs < Long.MAX_VALUE).count();
+        }
+    }
+
+    private static Play trouble(long seed, long loadUs, Consumer<Play> mischief) {
+        var play = new Play(seed).up();
+        play.load(loadUs);
+        play.run(2 * SECOND);
+        mischief.accept(play);
+        play.run(loadUs);
+        play.settle();
+        assertThat(play.accepted()).isGreaterThan(play.sent / 3);
+        return play;
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void calmDaysServeAllAndRunNothingTwice(long seed) {
+        var play = trouble(seed, 8 * SECOND, each -> { });
+        assertThat(play.ledger.reruns).isEqualTo(0);
+        assertThat(play.accepted()).isEqualTo(play.ledger.entries.size());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {11, 12, 13})
+    void keepersStoppedInTurnRunNoSuccessTwice(long seed) {
+        var play = trouble(seed, 24 * SECOND, each -> each.world.hosts("keeper").forEach(host -> {
+            each.world.term(host);
+            each.run(7 * SECOND);
+        }));
+        assertThat(play.ledger.reruns).isEqualTo(0);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {21, 22, 23, 24})
+    void killedKeeperLosesNothing(long seed) {
+        trouble(seed, 10 * SECOND, each -> each.world.kill(each.world.hosts("keeper").get((int) seed % 3)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {31, 32, 33})
+    void darkKeeperLosesNothing(long seed) {
+        trouble(seed, 12 * SECOND, each -> each.world.powerOff(each.world.hosts("keeper").get((int) seed % 3), 3 * SECOND));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {41, 42, 43, 44})
+    void wipedKeeperIsFilledAgain(long seed) {
+        trouble(seed, 14 * SECOND, each -> {
+            var keepers = each.world.hosts("keeper");
+            each.world.wipe(keepers.get((int) seed % 3), SECOND / 2);
+            each.run(6 * SECOND);
+            each.world.wipe(keepers.get((int) (seed + 1) % 3), SECOND / 2);
+        });
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {51, 52, 53})
+    void cutOffKeeperActsNoMore(long seed) {
+        trouble(seed, 14 * SECOND, each -> each.world.cutOff(each.world.hosts("keeper").get((int) seed % 3), 4 * SECOND));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {61, 62, 63, 64})
+    void allPowerLostKeepsWhatWasAccepted(long seed) {
+        trouble(seed, 10 * SECOND, each -> {
+            each.run(3 * SECOND);
+            List.of("pilot", "keeper", "gallery").forEach(role -> each.world.hosts(role).forEach(host -> each.world.powerOff(host, SECOND)));
+        });
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {71, 72, 73, 74, 75, 76})
+    void oneDiskLostWhileAllElseLosesPower(long seed) {
+        trouble(seed, 10 * SECOND, each -> {
+            each.run(3 * SECOND);
+            var roles = seed % 2 == 0 ? "keeper" : "pilot";
+            var lost = each.world.hosts(roles).get((int) seed % 3);
+            List.of("pilot", "keeper", "gallery").forEach(role -> each.world.hosts(role).forEach(host -> {
+                if (host == lost) {
+                    each.world.wipe(host, SECOND);
+                } else {
+                    each.world.powerOff(host, SECOND);
+                }
+            }));
+            each.run(8 * SECOND);
+            var read = each.world.leader().orElseThrow().pilot().read();
+            assertThat(new String(read.body(), StandardCharsets.UTF_8)).isEqualTo(Ledger.config(1, each.key, 4));
+        });
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {81, 82, 83})
+    void pilotsStoppedAndKilledHurtNothing(long seed) {
+        var play = trouble(seed, 14 * SECOND, each -> {
+            each.world.term(each.world.leader().orElseThrow());
+            each.run(3 * SECOND);
+            each.world.kill(each.world.leader().orElseThrow());
+            each.run(4 * SECOND);
+            each.world.hosts("pilot").forEach(host -> each.world.skew(host, seed % 2 == 0 ? 7 * SECOND : -7 * SECOND));
+        });
+        assertThat(play.ledger.reruns).isEqualTo(0);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {91, 92, 93, 94, 95, 96})
+    void randomMischief(long seed) {
+        trouble(seed, 30 * SECOND, each -> {
+            for (var round = 0; round < 5; round++) {
+                strike(each);
+                each.run(7 * SECOND);
+            }
+        });
+    }
+
+    private static void strike(Play play) {
+        var luck = play.world.luck();
+        var keepers = play.world.hosts("keeper");
+        var keeper = keepers.get(luck.nextInt(keepers.size()));
+        switch (luck.nextInt(6)) {
+            case 0 -> play.world.kill(keeper);
+            case 1 -> play.world.wipe(keeper, SECOND / 2);
+            case 2 -> play.world.term(keeper);
+            case 3 -> play.world.cutOff(keeper, 2 * SECOND);
+            case 4 -> play.world.kill(play.anyGallery());
+            default -> play.world.leader().ifPresent(play.world::kill);
+        }
+    }
+
+    @Test
+    void darkEndpointDrainsUnderItsCeiling() {
+        trouble(101, 20 * SECOND, each -> each.ledger.darkUntilUs = each.world.nowUs() + 6 * SECOND);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {111, 112, 113})
+    void hotTenantStaysInsideItsQuotaOverAllGalleries(long seed) {
+        var play = new Play(seed).up();
+        var admitted = new ArrayList<Long>();
+        var cutAtUs = play.world.nowUs() + 6 * SECOND;
+        flood(play, admitted, play.world.nowUs() + 16 * SECOND);
+        play.run(cutAtUs - play.world.nowUs());
+        var gallery = play.world.hosts("gallery").get((int) seed % 3);
+        if (seed % 2 == 0) {
+            play.world.cutOff(gallery, 2 * SECOND);
+        } else {
+            play.world.kill(gallery);
+        }
+        play.run(12 * SECOND);
+        var first = 0;
+        var most = 0;
+        for (var last = 0; last < admitted.size(); last++) {
+            while (admitted.get(last) - admitted.get(first) >= 5 * SECOND) {
+                first++;
+            }
+            most = Math.max(most, last - first + 1);
+        }
+        assertThat(most).isAtMost((int) ((20 * 5 + 20) * 1.1 + 20));
+        assertThat(admitted.size()).isAtLeast(16 * 20 * 7 / 10);
+    }
+
+    private static void flood(Play play, List<Long> admitted, long untilUs) {
+        if (play.world.nowUs() >= untilUs) {
+            return;
+        }
+        var id = "hot" + play.world.nowUs();
+        var sentUs = play.world.nowUs();
+        play.ledger.entries.put(id, new Ledger.Entry(id, "carrier", "", sentUs));
+        play.world.ask(play.anyGallery(), "POST", "/carrier/x", Map.of("Host", Ledger.HOST, "Attempt-Id", id, "Authorization", "Bearer hot-key"), new byte[0], answer -> {
+            if (answer.map(each -> each.code().status()).orElse(0) == 202) {
+                admitted.add(sentUs);
+            }
+        });
+        play.world.after(4_000 + play.world.luck().nextInt(2_000), () -> flood(play, admitted, untilUs));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {121, 122})
+    void ofTwoChangesOnOneBaseOneWinsAndResendsAreTaken(long seed) {
+        var play = new Play(seed).up();
+        var one = Ledger.config(2, "key-two", 4).getBytes(StandardCharsets.UTF_8);
+        var other = Ledger.config(3, "key-three", 4).getBytes(StandardCharsets.UTF_8);
+        var codes = new ArrayList<Codes>();
+        play.world.configure(one, 1, reply -> codes.add(reply.code()));
+        play.world.configure(other, 1, reply -> codes.add(reply.code()));
+        play.run(SECOND);
+        assertThat(codes).containsExactly(Codes.FINE, Codes.OTHER_BASE);
+        play.world.configure(codes.get(0) == Codes.FINE ? one : other, 1, reply -> codes.add(reply.code()));
+        play.run(SECOND);
+        assertThat(codes.get(2)).isEqualTo(Codes.FINE);
+    }
+
+    @Test
+    void revokedKeysFailOnACutOffGalleryToo() {
+        var play = new Play(131).up();
+        var gallery = play.world.hosts("gallery").get(0);
+        play.world.cutOff(gallery, 20 * SECOND);
+        play.world.configure(Ledger.config(2, "key-two", 4).getBytes(StandardCharsets.UTF_8), 1, reply -> assertThat(reply.code()).isEqualTo(Codes.FINE));
+        play.run(5 * SECOND);
+        var statuses = new ArrayList<Integer>();
+        var headers = Map.of("Host", Ledger.HOST, "Attempt-Id", "late", "Authorization", "Bearer key-one");
+        play.world.ask(gallery, "POST", "/quote/x", headers, new byte[0], answer -> statuses.add(answer.orElseThrow().code().status()));
+        play.run(SECOND);
+        assertThat(statuses).containsExactly(503);
+    }
+
+    @Test
+    void theSameSeedPlaysTheSameDay() {
+        var one = trouble(141, 6 * SECOND, each -> each.world.kill(each.world.hosts("keeper").get(0)));
+        var other = trouble(141, 6 * SECOND, each -> each.world.kill(each.world.hosts("keeper").get(0)));
+        assertThat(one.world.frames()).isEqualTo(other.world.frames());
+        assertThat(one.world.crossBytes()).isEqualTo(other.world.crossBytes());
+    }
+}
--- /dev/null
+++ b/src/test/java/wellwheel/tide/Ledger.java
@@ -0,0 +1,147 @@
+package wellwheel.tide;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import wellwheel.keeper.Courier;
+import wellwheel.lantern.Layout;
+
+final class Ledger implements World.Processors {
+    static final String HOST = "line.example";
+
+    static final class Entry {
+        final String id;
+        final String service;
+        final String orderKey;
+        final long sentUs;
+        final byte[] body;
+        long acceptedUs = Long.MAX_VALUE;
+        long firstStartUs = Long.MAX_VALUE;
+        long endedUs = Long.MAX_VALUE;
+        String name = "";
+        int fails;
+        int successes;
+        boolean refusedForGood;
+        boolean answerLost;
+        boolean promisedNotToRun;
+        final Set<String> seals = new HashSet<>();
+        final Set<String> endedLeases = new HashSet<>();
+
+        Entry(String id, String service, String orderKey, long sentUs) {
+            this.id = id;
+            this.service = service;
+            this.orderKey = orderKey;
+            this.sentUs = sentUs;
+            this.body = ("body of " + id).getBytes(StandardCharsets.UTF_8);
+        }
+    }
+
+    final Map<String, Entry> entries = new LinkedHashMap<>();
+    final Map<String, List<Entry>> byKey = new HashMap<>();
+    final List<Long> endpointArrivals = new ArrayList<>();
+    final List<String> faults = new ArrayList<>();
+    int reruns;
+    World world;
+    long darkUntilUs;
+    double lossShare = 0.01;
+
+    static String config(long revision, String key, int tries) {
+        return "{\"Revision\":" + revision + ",\"Routing\":[" + path("quote", tries, false) + "," + path("book", tries, true) + "," + path("carrier", tries, false) + "],\"Backends\":["
+            + "{\"Name\":\"quote\",\"MaxConns\":100,\"RatePerS\":0.0,\"DropsRepeats\":false,\"WorkerPull\":true,\"Endpoint\":null},"
+            + "{\"Name\":\"book\",\"MaxConns\":100,\"RatePerS\":0.0,\"DropsRepeats\":true,\"WorkerPull\":false,\"Endpoint\":null},"
+            + "{\"Name\":\"carrier\",\"MaxConns\":24,\"RatePerS\":25.0,\"DropsRepeats\":true,\"WorkerPull\":false,\"Endpoint\":\"10.9.0.9:80\"}],"
+            + "\"Customers\":[{\"Name\":\"acme\",\"ApiKeys\":[\"" + key + "\"],\"RatePerS\":1000,\"Burst\":1000},{\"Name\":\"hot\",\"ApiKeys\":[\"hot-key\"],\"RatePerS\":20,\"Burst\":20}]}";
+    }
+
+    private static String path(String service, int tries, boolean inOrder) {
+        return "{\"Name\":\"r-" + service + "\",\"Host\":\"" + HOST + "\",\"PathStart\":\"/" + service + "/\",\"Type\":\"background\",\"GiveUpMs\":600,\"TargetMs\":100,\"Rank\":1,\"Backend\":\"" + service
+            + "\",\"Tries\":" + tries + ",\"InOrder\":" + inOrder + ",\"KeepForS\":90.0,\"StartTargetMs\":500,\"Public\":false}";
+    }
+
+    List<Layout.Processor> roster() {
+        return List.of(new Layout.Processor("p1", "book", "10.8.0.1:80", "north", 6, false, 0), new Layout.Processor("p2", "book", "10.8.0.2:80", "east", 6, false, 0));
+    }
+
+    void starts(Entry entry, long nowUs) {
+        if (entry.successes > 0) {
+            reruns++;
+        }
+        if (entry.promisedNotToRun) {
+            faults.add("REFUSED " + entry.id);
+        }
+        entry.firstStartUs = Math.min(entry.firstStartUs, nowUs);
+        if (entry.orderKey.isEmpty()) {
+            return;
+        }
+        for (var other : byKey.get(entry.orderKey)) {
+            if (other != entry && other.acceptedUs < entry.sentUs && other.endedUs > nowUs) {
+                faults.add("ORDER " + entry.id + " starts before the end of " + other.id);
+            }
+        }
+    }
+
+    @Override
+    public long workUs() {
+        return 20_000 + world.luck().nextInt(30_000);
+    }
+
+    @Override
+    public Optional<Courier.Outcome> run(Courier.Leg leg, long nowUs) {
+        if (leg.address().equals("10.9.0.9:80")) {
+            endpointArrivals.add(nowUs);
+        }
+        if (nowUs < darkUntilUs) {
+            return Optional.empty();
+        }
+        var entry = entries.get(leg.id());
+        if (entry == null) {
+            faults.add("UNASKED " + leg.id());
+            return Optional.empty();
+        }
+        if (entry.successes > 0) {
+            return Optional.of(new Courier.Outcome(Courier.Result.DONE, entry.seals.iterator().next(), "1,0,6"));
+        }
+        var luck = world.luck().nextDouble();
+        if (luck < 0.01) {
+            return Optional.of(new Courier.Outcome(Courier.Result.NOT_RUN, "", ""));
+        }
+        starts(entry, nowUs);
+        if (luck < 0.04) {
+            entry.fails++;
+            return Optional.of(new Courier.Outcome(Courier.Result.FAILED, "", ""));
+        }
+        var seal = "seal-" + entry.id + "-" + entry.successes;
+        succeeds(entry, seal, nowUs);
+        return luck < 0.04 + lossShare ? Optional.empty() : Optional.of(new Courier.Outcome(Courier.Result.DONE, seal, "1,0,6"));
+    }
+
+    void succeeds(Entry entry, String seal, long nowUs) {
+        entry.successes++;
+        entry.seals.add(seal);
+        entry.endedUs = Math.min(entry.endedUs, nowUs);
+    }
+
+    long most(long windowUs) {
+        var most = 0L;
+        var first = 0;
+        for (var last = 0; last < endpointArrivals.size(); last++) {
+            while (endpointArrivals.get(last) - endpointArrivals.get(first) >= windowUs) {
+                first++;
+            }
+            most = Math.max(most, last - first + 1);
+        }
+        return most;
+    }
+
+    void clean() {
+        assertWithMessage("broken rules").that(faults).isEmpty();
+    }
+}
