--- a/src/main/java/wellwheel/gallery/GalleryNode.java
+++ b/src/main/java/wellwheel/gallery/GalleryNode.java
@@ -265,12 +265,9 @@
         put.startUs = nowUs;
         put.holdUntilUs = nowUs + Math.max(RETRY_US, path.aimUs() / 4);
         put.giveUpUs = nowUs + Math.min(10_000_000, number(exchange, "Time-Left-Ms", 2000) * 1000);
-        put.frame = Frame.of("put").with("id", name).with("tenant", tenantName).with("host", Charter.plainHost(exchange.header("Host").orElse("")))
-            .with("method", exchange.method()).with("target", exchange.target()).with("type", exchange.header("Content-Type").orElse(""))
-            .with("okey", path.inOrder() ? orderKey : "").with("delay", delayUs).with("keep", path.keepUs()).with("body", exchange.body());
-        if (!path.inOrder() && !orderKey.isEmpty()) {
-            put.frame.with("okey", "");
-        }
+        put.frame = Frame.of("put").with("i", name).with("t", tenantName).with("h", Charter.plainHost(exchange.header("Host").orElse("")))
+            .with("m", exchange.method()).with("p", exchange.target()).with("ct", exchange.header("Content-Type").orElse(""))
+            .with("o", path.inOrder() ? orderKey : "").with("delay", delayUs).with("keep", path.keepUs()).with("b", exchange.body());
         var service = claim.charter().service(path.service());
         if (path.inOrder() && !orderKey.isEmpty()) {
             put.fixedLine = Optional.of(spread(tenantName + "\n" + orderKey));
@@ -313,7 +310,7 @@
         put.line = line.get().number();
         put.sentTo = ip;
         put.tries++;
-        wire.send(ip, put.frame.with("rid", rid).with("line", put.line));
+        wire.send(ip, put.frame.with("rid", rid).with("l", put.line));
     }
 
     private boolean down(String ip) {
@@ -358,7 +355,7 @@
         }
         if (frame.text("r").equals("kept")) {
             puts.remove(rid);
-            put.exchange.answer(Answer.of(Codes.KEPT, "Message-Name", name(put.line, put.frame.text("id"))));
+            put.exchange.answer(Answer.of(Codes.KEPT, "Message-Name", name(put.line, put.frame.text("i"))));
             return;
         }
         retry(rid, put);
--- a/src/main/java/wellwheel/gallery/Limiter.java
+++ b/src/main/java/wellwheel/gallery/Limiter.java
@@ -12,7 +12,6 @@
 
 public final class Limiter {
     static final long SCALE_US = 200_000;
-    private static final long SECOND_US = 1_000_000;
     private static final int KEYS_MOST = 4096;
     private static final int SENDERS_MOST = 256;
     private static final double NEAR = 0.7;
@@ -74,6 +73,7 @@
     private final LongSupplier coreUs;
     private final long windowUs;
     private final int size;
+    private final int horizon;
     private final Map<String, Counter> counters = new LinkedHashMap<>(64, 0.75f, true);
     private final Map<String, Map<Long, Long>> pending = new HashMap<>();
     private final Map<String, Sender> senders = new HashMap<>();
@@ -84,6 +84,7 @@
         this.self = self;
         this.windowUs = windowUs;
         this.coreUs = coreUs;
+        this.horizon = (int) (windowUs / SCALE_US);
         this.size = (int) (windowUs / SCALE_US) + 4;
     }
 
@@ -91,32 +92,19 @@
         var nowUs = coreUs.getAsLong();
         var window = Math.floorDiv(nowUs, SCALE_US);
         var counter = counter(key);
-        var longLimit = (limit.perS() * windowUs / 1e6 + limit.burst()) * share;
-        var shortLimit = (limit.perS() + limit.burst()) * share;
-        var longSum = counter.total.sum(Math.floorDiv(nowUs - windowUs, SCALE_US), window);
-        var shortSum = counter.total.sum(Math.floorDiv(nowUs - SECOND_US, SCALE_US), window);
-        if (longSum + 1 > longLimit) {
-            return new Verdict(false, untilFree(counter, nowUs, windowUs, longLimit), longLimit, windowUs);
-        }
-        if (shortSum + 1 > shortLimit) {
-            return new Verdict(false, untilFree(counter, nowUs, SECOND_US, shortLimit), shortLimit, SECOND_US);
-        }
-        count(key, window, 1);
-        urgent |= longSum + 1 > longLimit * NEAR || shortSum + 1 > shortLimit * NEAR;
-        return new Verdict(true, 0, longLimit, windowUs);
-    }
-
-    private long untilFree(Counter counter, long nowUs, long spanUs, double limit) {
-        var first = Math.floorDiv(nowUs - spanUs, SCALE_US);
-        var last = Math.floorDiv(nowUs, SCALE_US);
-        var sum = counter.total.sum(first, last);
-        for (var window = first; window <= last; window++) {
-            sum -= counter.total.at(window);
-            if (sum + 1 <= limit) {
-                return Math.max(SCALE_US, (window + 1) * SCALE_US + spanUs - nowUs);
+        var perScale = limit.perS() * share * SCALE_US / 1e6;
+        var allowed = limit.burst() * share + limit.perS() * share * Math.floorMod(nowUs, SCALE_US) / 1e6;
+        var sum = 0L;
+        for (var back = 0; back <= horizon; back++) {
+            sum += counter.total.at(window - back);
+            if (sum + 1 > allowed) {
+                return new Verdict(false, Math.max(SCALE_US, (long) ((sum + 1 - allowed) / Math.max(0.01, limit.perS() * share) * 1e6)), allowed, (back + 1) * SCALE_US);
             }
+            urgent |= sum + 1 > allowed * NEAR;
+            allowed += perScale;
         }
-        return spanUs;
+        count(key, window, 1);
+        return new Verdict(true, 0, allowed, windowUs);
     }
 
     public void giveBack(String key) {
--- a/src/main/java/wellwheel/keeper/KeeperNode.java
+++ b/src/main/java/wellwheel/keeper/KeeperNode.java
@@ -145,7 +145,7 @@
     private void recover(Frame record) {
         switch (record.kind()) {
             case "disk" -> diskId = record.text("id");
-            case "m", "u" -> upsert(line(record.small("line")), record);
+            case "m", "u" -> upsert(line(record.small("l")), record);
             case "f" -> forget(line(record.small("line")));
             case "x" -> Optional.ofNullable(line(record.small("line")).messages.remove(record.text("id"))).ifPresent(old -> liveBytes -= old.body.length);
             default -> { }
@@ -153,9 +153,9 @@
     }
 
     private Optional<Message> upsert(Line line, Frame record) {
-        var message = line.messages.get(record.text("id"));
+        var message = line.messages.get(record.text("i"));
         if (message != null) {
-            if (record.number("rev") < message.rev) {
+            if (record.number("v") < message.rev) {
                 return Optional.of(message);
             }
             message.update(record);
@@ -393,14 +393,14 @@
     private void send(String node, Frame frame) {
         var ip = claim.layout().ipOf(node);
         if (!ip.isEmpty()) {
-            wire.send(ip, frame.with("from", id));
+            wire.send(ip, frame);
         }
     }
 
     private void replicate(Line line, Supplier<Frame> record, boolean sync, Runnable then) {
         var pending = new Pending(++line.seq, record, sync, then, clock.steadyUs());
         line.pending.put(pending.seq, pending);
-        line.messages.get(record.get().text("id")).seq = pending.seq;
+        line.messages.get(record.get().text("i")).seq = pending.seq;
         if (line.place.whole()) {
             pending.owing.add(line.place.backup());
             sendRep(line, pending, line.place.backup());
@@ -423,7 +423,7 @@
     }
 
     private void sendRep(Line line, Pending pending, String node) {
-        send(node, Frame.of("rep").with("line", line.number).with("epoch", line.place.epoch()).with("seq", pending.seq).with("sync", pending.sync).with("low", low(line)).with("rec", pending.record.get()));
+        send(node, Frame.of("rep").with("l", line.number).with("e", line.place.epoch()).with("s", pending.seq).with("y", pending.sync).with("w", pending.seq - low(line)).with("c", pending.record.get()));
         line.lowTold = low(line);
         line.spokeUs = clock.steadyUs();
     }
@@ -458,7 +458,7 @@
             case "claim.ok", "claim.no", "news" -> claim.onFrame(from, frame);
             case "rep" -> onRep(from, frame);
             case "rep.low" -> onRepLow(frame);
-            case "rep.ok" -> onRepOk(frame);
+            case "ok" -> onRepOk(from, frame);
             case "rep.no" -> onRepNo(frame);
             case "join.ask" -> onJoinAsk(from, frame);
             case "join.have" -> onJoinHave(frame);
@@ -482,9 +482,10 @@
     }
 
     private void onRep(String from, Frame frame) {
-        var line = line(frame.small("line"));
-        var epoch = frame.number("epoch");
-        var answer = Frame.of("rep.no").with("line", line.number).with("seq", frame.number("seq")).with("epoch", Math.max(line.epoch, epoch)).with("from", id);
+        var line = line(frame.small("l"));
+        var epoch = frame.number("e");
+        var seq = frame.number("s");
+        var answer = Frame.of("rep.no").with("l", line.number).with("e", Math.max(line.epoch, epoch)).with("from", id);
         if (epoch < line.epoch || line.open && epoch == line.epoch) {
             wire.send(from, answer.with("why", "stale"));
             return;
@@ -497,35 +498,35 @@
             wire.send(from, answer.with("why", "unjoined"));
             return;
         }
-        var record = frame.inner("rec");
-        line.seq = Math.max(line.seq, frame.number("seq"));
-        line.low = Math.max(line.low, frame.number("low"));
-        upsert(line, record).ifPresent(message -> message.seq = Math.max(message.seq, frame.number("seq")));
-        var ok = Frame.of("rep.ok").with("line", line.number).with("seq", frame.number("seq")).with("epoch", epoch).with("from", id);
-        if (frame.flag("sync")) {
+        var record = frame.inner("c");
+        line.seq = Math.max(line.seq, seq);
+        line.low = Math.max(line.low, seq - frame.number("w"));
+        upsert(line, record).ifPresent(message -> message.seq = Math.max(message.seq, seq));
+        var ok = Frame.of("ok").with("l", line.number).with("s", seq);
+        if (frame.flag("y")) {
             journal.append(record.pack(), () -> wire.send(from, ok));
         } else {
             wire.send(from, ok);
         }
     }
 
-    private void onRepOk(Frame frame) {
-        var line = line(frame.small("line"));
-        var pending = line.pending.get(frame.number("seq"));
+    private void onRepOk(String from, Frame frame) {
+        var line = line(frame.small("l"));
+        var pending = line.pending.get(frame.number("s"));
         if (!line.open || pending == null) {
             return;
         }
-        pending.owing.remove(frame.text("from"));
+        pending.owing.removeIf(node -> claim.layout().ipOf(node).equals(from));
         settle(line, pending);
     }
 
     private void onRepNo(Frame frame) {
-        var line = line(frame.small("line"));
+        var line = line(frame.small("l"));
         if (!line.open) {
             return;
         }
-        if (frame.number("epoch") > line.epoch) {
-            line.epoch = frame.number("epoch");
+        if (frame.number("e") > line.epoch) {
+            line.epoch = frame.number("e");
             stepDown(line);
             claim.renew();
         } else if (frame.text("why").equals("unjoined") && (frame.text("from").equals(line.place.backup()) || line.joining.map(j -> j.spoken).orElse(false))) {
@@ -606,9 +607,9 @@
     }
 
     private void onPut(String from, Frame frame) {
-        var line = line(frame.small("line"));
+        var line = line(frame.small("l"));
         var rid = frame.number("rid");
-        var known = line.messages.get(frame.text("id"));
+        var known = line.messages.get(frame.text("i"));
         if (!line.open || known == null && (!line.place.whole() || leaving && !line.place.primary().equals(id) || liveBytes > LIVE_BYTES_MOST)) {
             wire.send(from, Frame.of("put.ok").with("rid", rid).with("r", "no"));
             return;
@@ -618,8 +619,8 @@
             return;
         }
         var nowUs = claim.coreUs();
-        frame.with("rev", line.epoch << 20).with("no", ++line.lastNumber).with("due", nowUs + frame.number("delay")).with("expire", nowUs + frame.number("keep"));
-        var message = new Message(frame.with("state", 0L));
+        frame.with("v", line.epoch << 20).with("n", ++line.lastNumber).with("d", nowUs + frame.number("delay")).with("x", nowUs + frame.number("keep"));
+        var message = new Message(frame);
         line.messages.put(message.id, message);
         liveBytes += message.body.length;
         message.nextUs = message.dueUs;
--- a/src/main/java/wellwheel/keeper/Message.java
+++ b/src/main/java/wellwheel/keeper/Message.java
@@ -42,41 +42,41 @@
     final List<Runnable> settleWaiters = new ArrayList<>();
 
     Message(Frame frame) {
-        line = frame.small("line");
-        id = frame.text("id");
-        tenant = frame.text("tenant");
-        host = frame.text("host");
-        method = frame.text("method");
-        target = frame.text("target");
-        contentType = frame.text("type");
-        orderKey = frame.text("okey");
-        body = frame.bytes("body");
-        number = frame.number("no");
-        dueUs = frame.number("due");
-        expireUs = frame.number("expire");
+        line = frame.small("l");
+        id = frame.text("i");
+        tenant = frame.text("t");
+        host = frame.text("h");
+        method = frame.text("m");
+        target = frame.text("p");
+        contentType = frame.text("ct");
+        orderKey = frame.text("o");
+        body = frame.bytes("b");
+        number = frame.number("n");
+        dueUs = frame.number("d");
+        expireUs = frame.number("x");
         update(frame);
     }
 
     void update(Frame frame) {
-        state = State.values()[frame.small("state")];
-        seal = frame.text("seal");
-        endedUs = frame.number("ended");
-        fails = frame.small("fails");
-        leg = frame.number("leg");
-        rev = frame.number("rev");
-        lease = frame.text("lease");
-        untilUs = frame.number("until");
-        endedLease = frame.text("endedLease");
+        state = State.values()[frame.small("st")];
+        seal = frame.text("sl");
+        endedUs = frame.number("en");
+        fails = frame.small("f");
+        leg = frame.number("g");
+        rev = frame.number("v");
+        lease = frame.has("le") ? line + "." + frame.number("le") + "." + leg : "";
+        endedLease = frame.flag("ee") ? lease : "";
     }
 
     Frame whole() {
-        return change().with("k", "m").with("tenant", tenant).with("host", host).with("method", method).with("target", target)
-            .with("type", contentType).with("okey", orderKey).with("body", body).with("no", number).with("due", dueUs).with("expire", expireUs);
+        return change().with("k", "m").with("t", tenant).with("h", host).with("m", method).with("p", target)
+            .with("ct", contentType).with("o", orderKey).with("b", body).with("n", number).with("d", dueUs).with("x", expireUs);
     }
 
     Frame change() {
-        return Frame.of("u").with("line", line).with("id", id).with("state", state.ordinal()).with("seal", seal).with("ended", endedUs)
-            .with("fails", fails).with("leg", leg).with("rev", rev).with("lease", lease).with("until", untilUs).with("endedLease", endedLease);
+        var frame = Frame.of("u").with("l", line).with("i", id).with("st", state.ordinal()).with("sl", seal).with("en", endedUs)
+            .with("f", fails).with("g", leg).with("v", rev).with("ee", !lease.isEmpty() && endedLease.equals(lease));
+        return lease.isEmpty() ? frame : frame.with("le", Long.parseLong(lease.split("\\.")[1]));
     }
 
     boolean waiting() {
--- a/src/main/java/wellwheel/pilot/PilotNode.java
+++ b/src/main/java/wellwheel/pilot/PilotNode.java
@@ -399,7 +399,8 @@
 
     private List<Layout.Line> repairs(List<String> keepers) {
         if (!settled()) {
-            return List.of();
+            return lines.values().stream().filter(line -> alive(line.primary()) && alive(line.joining()) && (!line.whole() || alive(line.backup())))
+                .map(this::joined).flatMap(Optional::stream).toList();
         }
         var weights = new HashMap<String, Integer>();
         lines.values().forEach(line -> List.of(line.primary(), line.backup(), line.joining()).forEach(id -> weights.merge(id, 1, Integer::sum)));
--- a/src/main/java/wellwheel/tide/World.java
+++ b/src/main/java/wellwheel/tide/World.java
@@ -172,6 +172,7 @@
             frames++;
             if (!peer.zone.equals(host.zone)) {
                 crossBytes += bytes.length + 4;
+                crossByKind.merge(frame.kind(), bytes.length + 4L, Long::sum);
             }
             if (cut(host.ip, peerIp) || !peer.powered) {
                 loseLater(peerIp, 750_000);
@@ -392,6 +393,7 @@
     private long turn;
     private long frames;
     private long crossBytes;
+    private final Map<String, Long> crossByKind = new java.util.TreeMap<>();
     private long syncs;
 
     public World(Shape shape, long seed, Processors processors) {
@@ -471,6 +473,10 @@
         return crossBytes;
     }
 
+    public Map<String, Long> crossByKind() {
+        return Map.copyOf(crossByKind);
+    }
+
     public long frames() {
         return frames;
     }
