--- a/src/test/java/wellwheel/tide/ClusterTest.java
+++ b/src/test/java/wellwheel/tide/ClusterTest.java
@@ -220,7 +220,6 @@
         var play = trouble(seed, 8 * SECOND, each -> { });
         assertThat(play.ledger.reruns).isEqualTo(0);
         assertThat(play.accepted()).isEqualTo(play.ledger.entries.size());
-        System.out.println("BYTES " + play.accepted() + " " + play.world.crossByKind());
     }
 
     @ParameterizedTest
