--- /dev/null
+++ b/src/test/java/wellwheel/lantern/DoorTest.java
@@ -0,0 +1,91 @@
+package wellwheel.lantern;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class DoorTest {
+    private static final NioEventLoopGroup GROUP = new NioEventLoopGroup(1);
+    private static final CopyOnWriteArrayList<String> SEEN = new CopyOnWriteArrayList<>();
+    private static int port;
+
+    @BeforeAll
+    static void open() throws Exception {
+        try (var socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = socket.getLocalPort();
+        }
+        var loop = GROUP.next();
+        var caps = new Charter.Caps(512, 64, 300_000, 400_000);
+        var door = new Door(loop, new LoopClock(loop), () -> caps, 100, exchange -> {
+            SEEN.add(exchange.method() + " " + exchange.target() + " " + new String(exchange.body(), StandardCharsets.UTF_8));
+            exchange.answer(Exchange.Answer.of(Codes.FINE).with("text/plain", "yes".getBytes(StandardCharsets.UTF_8)));
+        });
+        door.open("127.0.0.1:" + port);
+        door.watch();
+    }
+
+    @AfterAll
+    static void close() {
+        GROUP.shutdownGracefully();
+    }
+
+    private static String tell(String request) throws IOException {
+        try (var socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(5_000);
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "POST /bad HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n",
+        "POST /bad HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+        "POST /bad HTTP/1.1\r\nHost: h\r\nContent-Length: 5, 5\r\n\r\nhello",
+        "POST /bad HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n",
+        "POST /bad HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "POST /bad HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST /bad HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n",
+        "GET /bad HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
+        "GET /bad HTTP/1.1\r\n\r\n",
+        "GET http://elsewhere/bad HTTP/1.1\r\nHost: h\r\n\r\n",
+        "GET /bad HTTP/1.1\r\nHost: h\r\nBad Name: x\r\n\r\n"})
+    void malformedRequestsAreRefusedAndTheConnectionClosed(String request) throws IOException {
+        SEEN.clear();
+        assertThat(tell(request)).startsWith("HTTP/1.1 400");
+        assertThat(SEEN).isEmpty();
+    }
+
+    @Test
+    void sizesAreBounded() throws IOException {
+        assertThat(tell("GET /big HTTP/1.1\r\nHost: h\r\nX: " + "y".repeat(600) + "\r\n\r\n")).startsWith("HTTP/1.1 431");
+        assertThat(tell("POST /big HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n")).startsWith("HTTP/1.1 413");
+        assertThat(tell("POST /big HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" + "y".repeat(65) + "\r\n0\r\n\r\n")).startsWith("HTTP/1.1 413");
+    }
+
+    @Test
+    void slowHeadsGet408AndSilentOnesAreClosed() throws IOException {
+        assertThat(tell("GET /slow HTTP/1.1\r\nHo")).startsWith("HTTP/1.1 408");
+        assertThat(tell("")).isEmpty();
+    }
+
+    @Test
+    void bodiesComeByLengthOrChunksAndPipelinedRequestsInOrder() throws IOException {
+        SEEN.clear();
+        var answer = tell("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhiPOST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\ny\r\n2\r\neo\r\n0\r\n\r\n"
+            + "GET /c HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        assertThat(answer.split("HTTP/1.1 200", -1)).hasLength(4);
+        assertThat(SEEN).containsExactly("POST /a hi", "POST /b yeo", "GET /c ").inOrder();
+    }
+}
