--- a/src/main/java/wellwheel/gallery/GalleryNode.java
+++ b/src/main/java/wellwheel/gallery/GalleryNode.java
@@ -41,10 +41,10 @@
         int line;
         String sentTo = "";
         long sentUs;
-        long startUs;
         long holdUntilUs;
         long giveUpUs;
         boolean unsure;
+        boolean held;
         int tries;
     }
 
@@ -262,8 +262,7 @@
         var orderKey = exchange.header("Order-Key").orElse("");
         var tenantName = tenant.map(Charter.Tenant::name).orElse("");
         put.exchange = exchange;
-        put.startUs = nowUs;
-        put.holdUntilUs = nowUs + Math.max(RETRY_US, path.aimUs() / 4);
+        put.holdUntilUs = nowUs + path.aimUs() / 5;
         put.giveUpUs = nowUs + Math.min(10_000_000, number(exchange, "Time-Left-Ms", 2000) * 1000);
         put.frame = Frame.of("put").with("i", name).with("t", tenantName).with("h", Charter.plainHost(exchange.header("Host").orElse("")))
             .with("m", exchange.method()).with("p", exchange.target()).with("ct", exchange.header("Content-Type").orElse(""))
@@ -302,9 +301,7 @@
         put.sentUs = nowUs;
         if (!usable) {
             put.sentTo = "";
-            if (!put.unsure && nowUs >= put.holdUntilUs) {
-                giveUp(rid, put);
-            }
+            holdOrGiveUp(rid, put);
             return;
         }
         put.line = line.get().number();
@@ -313,6 +310,25 @@
         wire.send(ip, put.frame.with("rid", rid).with("l", put.line));
     }
 
+    private void holdOrGiveUp(long rid, Put put) {
+        if (put.unsure) {
+            return;
+        }
+        var leftUs = put.holdUntilUs - clock.steadyUs();
+        if (leftUs <= 0) {
+            giveUp(rid, put);
+        } else if (!put.held) {
+            put.held = true;
+            clock.after(leftUs, () -> {
+                synchronized (this) {
+                    if (puts.get(rid) == put && put.sentTo.isEmpty() && !put.unsure) {
+                        send(rid, put);
+                    }
+                }
+            });
+        }
+    }
+
     private boolean down(String ip) {
         return clock.steadyUs() - downUs.getOrDefault(ip, Long.MIN_VALUE / 2) < 200_000;
     }
@@ -372,10 +388,9 @@
             put.sentUs = clock.steadyUs();
         } else if (put.fixedLine.isEmpty() && put.tries < 4) {
             send(rid, put);
-        } else if (clock.steadyUs() >= put.holdUntilUs) {
-            giveUp(rid, put);
         } else {
             put.sentUs = clock.steadyUs();
+            holdOrGiveUp(rid, put);
         }
     }
 
@@ -590,6 +605,11 @@
     }
 
     private String nextKeeper(String service, List<Layout.Member> keepers) {
+        var near = keepers.stream().filter(keeper -> keeper.zone().equals(options.zone())).toList();
+        return lightest(service, near.isEmpty() ? keepers : near);
+    }
+
+    private String lightest(String service, List<Layout.Member> keepers) {
         var counts = new HashMap<String, Integer>();
         pulls.values().stream().filter(pull -> pull.service.equals(service)).forEach(pull -> counts.merge(pull.keeperIp, 1, Integer::sum));
         var start = (int) (turn++ % keepers.size());
