--- a/src/main/java/wellwheel/keeper/KeeperNode.java
+++ b/src/main/java/wellwheel/keeper/KeeperNode.java
@@ -35,6 +35,7 @@
     private static final String FINISHED_VERSION = Message.State.FINISHED.ordinal() + ".";
     private static final int ORPHANS_MOST = 1024;
     private static final long ORPHAN_US = 8_000_000;
+    private static final long UNTOLD_US = 60_000;
     private static final int MESSAGES_MOST = 150_000;
     private static final int DEMANDS_MOST = 4096;
 
@@ -80,6 +81,7 @@
         long epoch;
         long seq;
         long lastNumber;
+        long openedEpoch;
         long low;
         long lowTold;
         long spokeUs;
@@ -128,6 +130,7 @@
         this.luck = new Random(seed);
         this.journal = new Journal(disk, "keeper.journal");
         journal.replay(record -> recover(Frame.unpack(record)));
+        doubtLastEnds();
         if (diskId.isEmpty()) {
             fresh = true;
             diskId = Long.toHexString(luck.nextLong() & 0xffffffffffL);
@@ -146,6 +149,12 @@
         return id;
     }
 
+    private void doubtLastEnds() {
+        var all = lines.values().stream().flatMap(line -> line.messages.values().stream()).toList();
+        var lastUs = all.stream().mapToLong(message -> Math.max(message.acceptedUs, message.endedUs)).max().orElse(0);
+        all.stream().filter(message -> message.endedByWorker && message.state == Message.State.FINISHED && message.endedUs > lastUs - UNTOLD_US).forEach(message -> message.untold = true);
+    }
+
     private Line line(int number) {
         return lines.computeIfAbsent(number, Line::new);
     }
@@ -313,6 +322,7 @@
 
     private void open(Line line) {
         line.open = true;
+        line.openedEpoch = line.epoch;
         var wasMember = line.member;
         line.member = true;
         var nowUs = claim.coreUs();
@@ -573,7 +583,7 @@
         line.low = 0;
         var have = new ArrayList<Object>();
         line.messages.values().forEach(message -> have.add(new Frame().with("id", message.id).with("v", message.version())
-            .with("seal", message.seal).with("state", message.state.ordinal()).with("ended", message.endedUs)));
+            .with("seal", message.seal).with("state", message.state.ordinal()).with("w", message.endedByWorker)));
         wire.send(from, Frame.of("join.have").with("line", line.number).with("epoch", line.epoch).with("have", have).with("from", id));
     }
 
@@ -591,7 +601,7 @@
             var known = line.messages.get(each.text("id"));
             if (known == null) {
                 extra.add(each.text("id"));
-            } else if (known.waiting() && each.small("state") == Message.State.FINISHED.ordinal() && !known.settling) {
+            } else if (known.waiting() && !each.flag("w") && each.small("state") == Message.State.FINISHED.ordinal() && !known.settling) {
                 finish(line, known, Message.State.FINISHED, each.text("seal"), "", () -> { });
             }
         }
@@ -647,7 +657,7 @@
             return;
         }
         var nowUs = claim.coreUs();
-        frame.with("v", line.epoch << 20).with("n", ++line.lastNumber).with("d", nowUs + frame.number("delay")).with("x", nowUs + frame.number("keep"));
+        frame.with("v", line.epoch << 20).with("n", ++line.lastNumber).with("a", nowUs).with("d", nowUs + frame.number("delay")).with("x", nowUs + frame.number("keep"));
         var message = new Message(frame);
         line.messages.put(message.id, message);
         liveBytes += message.body.length;
@@ -689,7 +699,7 @@
         }
         seen.ifPresent(message -> {
             var authority = line(message.line).open;
-            var settled = message.waiting() || !message.settling;
+            var settled = message.waiting() || !message.settling && !message.untold;
             answer.with("state", settled ? message.state.ordinal() : 0).with("seal", settled ? message.seal : "").with("authority", authority);
             if (frame.flag("body")) {
                 answer.with("body", message.body).with("type", message.contentType);
@@ -1151,6 +1161,7 @@
             return;
         }
         var lease = frame.text("lease");
+        recognise(line, message, lease);
         if (message == null || lease.isEmpty() || !message.lease.equals(lease)) {
             wire.send(from, answer.with("r", 409));
             return;
@@ -1160,6 +1171,7 @@
             return;
         }
         if (message.endedLease.equals(lease)) {
+            confirm(line, message);
             wire.send(from, answer.with("r", 200));
             return;
         }
@@ -1175,8 +1187,23 @@
         endTaken(line, message, lease, frame, () -> wire.send(from, answer.with("r", 200)));
     }
 
+    private void confirm(Line line, Message message) {
+        if (message.untold) {
+            message.untold = false;
+            message.rev++;
+            replicate(line, message::change, false, () -> { });
+        }
+    }
+
+    private void recognise(Line line, Message message, String lease) {
+        if (message != null && message.waiting() && !message.settling && message.yieldsTo(lease, line.openedEpoch)) {
+            message.takeOver(lease);
+        }
+    }
+
     private void endTaken(Line line, Message message, String lease, Frame frame, Runnable then) {
         var result = frame.small("result");
+        message.endedByWorker = result < 400 || result == 422 || result == 500;
         if (result >= 200 && result < 300 && !frame.text("seal").isEmpty()) {
             finish(line, message, Message.State.FINISHED, frame.text("seal"), lease, then);
         } else if (result == 422) {
@@ -1197,6 +1224,7 @@
             wire.send(from, answer.with("r", 503));
             return;
         }
+        recognise(line, message, frame.text("lease"));
         var held = message != null && message.waiting() && message.lease.equals(frame.text("lease")) && !message.endedLease.equals(message.lease) && !message.queued;
         if (held) {
             message.untilUs = claim.coreUs() + options.visibleUs();
@@ -1236,7 +1264,7 @@
         var oldUs = claim.coreUs() - options.statusUs() - 10_000_000;
         var nowUs = claim.coreUs();
         for (var line : lines.values()) {
-            line.messages.values().stream().filter(message -> message.state == Message.State.FINISHED && !message.settling && message.body.length > 0 && (line.open || message.seq <= line.low)).forEach(this::shed);
+            line.messages.values().stream().filter(message -> message.state == Message.State.FINISHED && !message.settling && !message.untold && message.body.length > 0 && (line.open || message.seq <= line.low)).forEach(this::shed);
             line.messages.values().removeIf(message -> {
                 var old = !message.waiting() && message.endedUs < oldUs && !message.settling;
                 if (old) {
--- a/src/main/java/wellwheel/keeper/Message.java
+++ b/src/main/java/wellwheel/keeper/Message.java
@@ -18,6 +18,7 @@
     final String orderKey;
     byte[] body;
     final long number;
+    final long acceptedUs;
     final long dueUs;
     final long expireUs;
     State state = State.WAITING;
@@ -30,6 +31,8 @@
     String lease = "";
     long untilUs;
     String endedLease = "";
+    boolean endedByWorker;
+    boolean untold;
     boolean kept;
     boolean running;
     boolean settling;
@@ -52,6 +55,7 @@
         orderKey = frame.text("o");
         body = frame.bytes("b");
         number = frame.number("n");
+        acceptedUs = frame.number("a");
         dueUs = frame.number("d");
         expireUs = frame.number("x");
         update(frame);
@@ -66,16 +70,30 @@
         rev = frame.number("v");
         lease = frame.has("le") ? line + "." + frame.number("le") + "." + leg : "";
         endedLease = frame.flag("ee") ? lease : "";
+        endedByWorker = frame.flag("w");
+        untold = frame.flag("q");
+    }
+
+    boolean yieldsTo(String otherLease, long openedEpoch) {
+        var parts = otherLease.split("\\.");
+        var epoch = Long.parseLong(parts[1]);
+        var known = lease.isEmpty() ? 0 : Long.parseLong(lease.split("\\.")[1]);
+        return epoch < openedEpoch && (epoch > known || epoch == known && Long.parseLong(parts[2]) > leg);
+    }
+
+    void takeOver(String otherLease) {
+        lease = otherLease;
+        leg = Long.parseLong(otherLease.split("\\.")[2]);
     }
 
     Frame whole() {
         return change().with("k", "m").with("t", tenant).with("h", host).with("m", method).with("p", target)
-            .with("ct", contentType).with("o", orderKey).with("b", body).with("n", number).with("d", dueUs).with("x", expireUs);
+            .with("ct", contentType).with("o", orderKey).with("b", body).with("n", number).with("a", acceptedUs).with("d", dueUs).with("x", expireUs);
     }
 
     Frame change() {
         var frame = Frame.of("u").with("l", line).with("i", id).with("st", state.ordinal()).with("sl", seal).with("en", endedUs)
-            .with("f", fails).with("g", leg).with("v", rev).with("ee", !lease.isEmpty() && endedLease.equals(lease));
+            .with("f", fails).with("g", leg).with("v", rev).with("w", endedByWorker).with("q", untold).with("ee", !lease.isEmpty() && endedLease.equals(lease));
         return lease.isEmpty() ? frame : frame.with("le", Long.parseLong(lease.split("\\.")[1]));
     }
 
--- a/src/test/java/wellwheel/tide/ClusterTest.java
+++ b/src/test/java/wellwheel/tide/ClusterTest.java
@@ -26,6 +26,8 @@
         long stopSendingUs;
         long stopWorkersUs = Long.MAX_VALUE;
         String key = "key-one";
+        boolean powerLost;
+        int unconfirmed;
 
         Play(long seed) {
             world = new World(World.Shape.three(), seed, ledger);
@@ -119,6 +121,7 @@
             assertThat(headers.get("Customer")).isEqualTo("acme");
             ledger.starts(entry, world.nowUs());
             var fails = world.luck().nextInt(30) == 0;
+            entry.endTried |= !fails;
             world.after(50_000 + world.luck().nextInt(400_000), () -> end(entry, headers.get("Lease"), fails ? "500" : "200", "seal-" + headers.get("Lease"), 40));
         }
 
@@ -189,12 +192,15 @@
                 if (state.contains("finished")) {
                     var seal = state.replaceAll(".*\"Seal\":\"([^\"]*)\".*", "$1");
                     assertWithMessage(entry.id + " " + state).that(entry.seals).contains(seal);
+                } else if (powerLost && state.contains("waiting") && entry.endTried) {
+                    unconfirmed++;
                 } else {
                     assertWithMessage(entry.id + " " + entry.service + " " + state).that(state).contains("failed");
                     assertWithMessage(entry.id + " said to be failed").that(entry.fails).isAtLeast(4);
                 }
             }
             ledger.clean();
+            assertThat(unconfirmed).isAtMost(12);
             assertThat(ledger.most(5 * SECOND)).isAtMost((long) (25 * 5 * 1.1 + 5));
         }
 
@@ -279,6 +285,7 @@
     void allPowerLostKeepsWhatWasAccepted(long seed) {
         trouble(seed, 10 * SECOND, each -> {
             each.run(3 * SECOND);
+            each.powerLost = true;
             List.of("pilot", "keeper", "gallery").forEach(role -> each.world.hosts(role).forEach(host -> each.world.powerOff(host, SECOND)));
         });
     }
@@ -288,6 +295,7 @@
     void oneDiskLostWhileAllElseLosesPower(long seed) {
         trouble(seed, 10 * SECOND, each -> {
             each.run(3 * SECOND);
+            each.powerLost = true;
             var roles = seed % 2 == 0 ? "keeper" : "pilot";
             var lost = each.world.hosts(roles).get((int) seed % 3);
             List.of("pilot", "keeper", "gallery").forEach(role -> each.world.hosts(role).forEach(host -> {
--- a/src/test/java/wellwheel/tide/Ledger.java
+++ b/src/test/java/wellwheel/tide/Ledger.java
@@ -31,6 +31,7 @@
         int successes;
         boolean refusedForGood;
         boolean answerLost;
+        boolean endTried;
         boolean promisedNotToRun;
         final Set<String> seals = new HashSet<>();
         final Set<String> endedLeases = new HashSet<>();
