--- a/src/main/java/wellwheel/gallery/GalleryNode.java
+++ b/src/main/java/wellwheel/gallery/GalleryNode.java
@@ -29,7 +29,7 @@
     private static final long END_US = 1_500_000;
     private static final long HEARD_US = 700_000;
     private static final long BEAT_US = 250_000;
-    private static final long QUIET_DRAIN_US = 4;
+    private static final int QUIET_INTERVALS = 4;
     private static final int OPEN_MOST = 8192;
 
     private static final class Put {
@@ -166,7 +166,7 @@
             peers().stream().filter(peer -> !caughtUp.contains(peer.id())).forEach(peer -> wire.send(peer.ip(), Frame.of("hits.all").with("s", id)));
         }
         var idleUs = nowUs - drainedUs;
-        var due = limiter.urgent() || !limiter.idle() && idleUs >= options.syncUs() * QUIET_DRAIN_US || idleUs >= BEAT_US;
+        var due = limiter.urgent() || !limiter.idle() && idleUs >= options.syncUs() * QUIET_INTERVALS || idleUs >= BEAT_US;
         if (due) {
             flushHits();
         }
--- a/src/main/java/wellwheel/gallery/Limiter.java
+++ b/src/main/java/wellwheel/gallery/Limiter.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.LongSupplier;
 import wellwheel.lantern.Frame;
 
@@ -66,7 +65,6 @@
 
     private static final class Sender {
         long batch = -1;
-        boolean asked;
     }
 
     private final String self;
@@ -251,8 +249,4 @@
     public int keys() {
         return counters.size();
     }
-
-    public Set<String> senders() {
-        return Set.copyOf(senders.keySet());
-    }
 }
--- a/src/main/java/wellwheel/lantern/Charter.java
+++ b/src/main/java/wellwheel/lantern/Charter.java
@@ -78,10 +78,6 @@
         return Optional.empty();
     }
 
-    public boolean knowsHost(String host) {
-        return pathsByHost.containsKey(plainHost(host));
-    }
-
     public Optional<Service> service(String name) {
         return Optional.ofNullable(services.get(name));
     }
--- a/src/main/java/wellwheel/pilot/Pilot.java
+++ b/src/main/java/wellwheel/pilot/Pilot.java
@@ -75,13 +75,29 @@
         switch (call) {
             case "POST Config.Replace" -> this.node.replace(exchange.body(), base(exchange), reply -> answer(exchange, reply));
             case "GET Config.Read" -> answer(exchange, this.node.read());
-            case "POST Retire.Start" -> this.node.retire(node, reply -> answer(exchange, reply));
+            case "POST Retire.Start" -> {
+                if (soundOrder(exchange)) {
+                    this.node.retire(node, reply -> answer(exchange, reply));
+                } else {
+                    exchange.answer(Exchange.Answer.of(Codes.BAD_REQUEST));
+                }
+            }
             case "GET Retire.Read" -> answer(exchange, this.node.retireState(node));
             case "GET ready" -> exchange.answer(Exchange.Answer.of(Codes.FINE));
             default -> exchange.answer(Exchange.Answer.of(Codes.NO_PATH));
         }
     }
 
+    private static boolean soundOrder(Exchange exchange) {
+        try {
+            var body = new String(exchange.body(), StandardCharsets.UTF_8);
+            var overS = JsonParser.parseString(body).getAsJsonObject().get("OverS");
+            return overS == null || overS.getAsDouble() >= 0;
+        } catch (RuntimeException e) {
+            return false;
+        }
+    }
+
     private static Optional<Long> base(Exchange exchange) {
         return exchange.header("Based-On-Version").map(String::trim).filter(text -> text.matches("[0-9]{1,18}")).map(Long::parseLong);
     }
--- a/src/main/java/wellwheel/tide/World.java
+++ b/src/main/java/wellwheel/tide/World.java
@@ -541,6 +541,20 @@
         });
     }
 
+    public void remove(Host host) {
+        host.end();
+        host.powered = false;
+    }
+
+    public Host join(String name, String role, String zone) {
+        var ip = "10.0.1." + hosts.size();
+        add(name, role, ip, zone);
+        var host = hosts.get(ip);
+        host.firstBoot = false;
+        host.start();
+        return host;
+    }
+
     public void cutOff(Host host, long spanUs) {
         cuts.add(host.ip);
         after(spanUs, () -> cuts.remove(host.ip));
--- a/src/test/java/wellwheel/tide/ClusterTest.java
+++ b/src/test/java/wellwheel/tide/ClusterTest.java
@@ -150,6 +150,15 @@
             }
         }
 
+        void retire(String node, List<Codes> codes) {
+            world.leader().orElseThrow().pilot().retire(node, reply -> codes.add(reply.code()));
+            run(SECOND / 2);
+        }
+
+        String retireState(String node) {
+            return new String(world.leader().orElseThrow().pilot().retireState(node).body(), StandardCharsets.UTF_8);
+        }
+
         void oneActs() {
             var seen = new HashMap<String, String>();
             world.upHosts("keeper").forEach(host -> host.keeper().openEpochs().forEach((line, epoch) -> {
@@ -349,6 +358,26 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {151, 152})
+    void aRetiredKeeperIsEmptiedUnderLoadAndASpareTakesItsPart(long seed) {
+        var play = trouble(seed, 20 * SECOND, each -> {
+            var keeper = each.world.hosts("keeper").get((int) seed % 3);
+            var codes = new ArrayList<Codes>();
+            each.retire("nobody", codes);
+            each.retire(keeper.name, codes);
+            each.run(4 * SECOND);
+            assertThat(each.retireState(keeper.name)).isEqualTo("{\"State\":\"finished\"}");
+            each.world.remove(keeper);
+            each.retire(each.world.upHosts("keeper").get(0).name, codes);
+            assertThat(codes).containsExactly(Codes.NO_NODE, Codes.FINE, Codes.TOO_FEW).inOrder();
+            var spare = each.world.join("storage-9", "keeper", "north");
+            each.run(8 * SECOND);
+            assertThat(spare.keeper().openEpochs().size()).isAtLeast(48 / 3 - 3);
+        });
+        assertThat(play.ledger.reruns).isEqualTo(0);
+    }
+
     @Test
     void darkEndpointDrainsUnderItsCeiling() {
         trouble(101, 20 * SECOND, each -> each.ledger.darkUntilUs = each.world.nowUs() + 6 * SECOND);
