--- a/src/main/java/wellwheel/pilot/Raft.java
+++ b/src/main/java/wellwheel/pilot/Raft.java
@@ -20,7 +20,7 @@
     private static final System.Logger LOG = System.getLogger("raft");
     private static final long BEAT_US = 150_000;
     private static final long ELECTION_US = 700_000;
-    private static final long FIRST_ELECTION_US = 200_000;
+    private static final long FIRST_ELECTION_US = 100_000;
     private static final long QUORUM_FRESH_US = 600_000;
     private static final long LONG_JOURNAL = 8 << 20;
     private static final int BATCH = 64;
@@ -104,7 +104,7 @@
             host.restore(snapState);
         }
         heardLeaderUs = clock.steadyUs() - ELECTION_US;
-        electionAtUs = clock.steadyUs() + FIRST_ELECTION_US + (long) (luck.nextDouble() * FIRST_ELECTION_US);
+        soonAgain();
     }
 
     private void recover(Frame record) {
@@ -258,9 +258,13 @@
         electionAtUs = clock.steadyUs() + ELECTION_US + (long) (luck.nextDouble() * ELECTION_US * 0.7);
     }
 
+    private void soonAgain() {
+        electionAtUs = clock.steadyUs() + FIRST_ELECTION_US + (long) (luck.nextDouble() * FIRST_ELECTION_US);
+    }
+
     private void startPreVote() {
         role = Role.PRE;
-        resetElection();
+        soonAgain();
         leader = "";
         votes.clear();
         votes.add(self);
