--- a/src/main/java/wellwheel/tide/World.java
+++ b/src/main/java/wellwheel/tide/World.java
@@ -478,6 +478,10 @@
         return Map.copyOf(crossByKind);
     }
 
+    public long journalBytes(String role) {
+        return hosts(role).stream().flatMap(host -> host.disk.files.values().stream()).mapToLong(file -> file.synced.length).max().orElse(0);
+    }
+
     public long frames() {
         return frames;
     }
--- a/src/test/java/wellwheel/tide/ClusterTest.java
+++ b/src/test/java/wellwheel/tide/ClusterTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,6 +28,7 @@
         long stopWorkersUs = Long.MAX_VALUE;
         String key = "key-one";
         boolean powerLost;
+        int padBytes;
         int unconfirmed;
 
         Play(long seed) {
@@ -76,6 +78,7 @@
 
         void handIn(String service, String orderKey) {
             var entry = new Ledger.Entry("m" + ledger.entries.size(), service, orderKey, world.nowUs());
+            entry.body = Arrays.copyOf(entry.body, Math.max(entry.body.length, padBytes));
             ledger.entries.put(entry.id, entry);
             ledger.byKey.computeIfAbsent(orderKey, k -> new ArrayList<>()).add(entry);
             var headers = new HashMap<>(Map.of("Host", Ledger.HOST, "Attempt-Id", entry.id, "Authorization", "Bearer " + key, "Time-Left-Ms", "1200"));
@@ -441,6 +444,46 @@
         assertThat(codes.get(2)).isEqualTo(Codes.FINE);
     }
 
+    @Test
+    void longPilotJournalsAreRewrittenAndReadBackAfterAllPowerIsLost() {
+        var play = new Play(161).up();
+        var padding = ",\"Padding\":\"" + "x".repeat(32_000) + "\"}";
+        var newest = "";
+        for (var revision = 2; revision < 320; revision++) {
+            newest = Ledger.config(revision, "key-" + revision, 4).replaceFirst("}$", padding);
+            var taken = new ArrayList<Codes>();
+            play.world.configure(newest.getBytes(StandardCharsets.UTF_8), revision - 1, reply -> taken.add(reply.code()));
+            play.run(30_000);
+            assertThat(taken).containsExactly(Codes.FINE);
+        }
+        assertThat(play.world.journalBytes("pilot")).isLessThan(9L << 20);
+        play.world.hosts("pilot").forEach(host -> play.world.powerOff(host, SECOND));
+        play.run(4 * SECOND);
+        play.world.wipe(play.world.hosts("pilot").get(0), SECOND / 2);
+        play.run(4 * SECOND);
+        play.world.kill(play.world.hosts("pilot").get(1));
+        play.run(4 * SECOND);
+        assertThat(new String(play.world.leader().orElseThrow().pilot().read().body(), StandardCharsets.UTF_8)).isEqualTo(newest);
+    }
+
+    @Test
+    void longKeeperJournalsAreRewrittenAndReadBackAfterAKill() {
+        var play = new Play(171).up();
+        play.padBytes = 256_000;
+        for (var number = 0; number < 450; number++) {
+            play.handIn("notice", "");
+            play.run(40_000);
+        }
+        assertThat(play.accepted()).isEqualTo(450);
+        assertThat(play.world.journalBytes("keeper")).isLessThan(56L << 20);
+        play.padBytes = 0;
+        play.load(4 * SECOND);
+        play.world.hosts("keeper").forEach(play.world::kill);
+        play.powerLost = true;
+        play.run(5 * SECOND);
+        play.settle();
+    }
+
     @Test
     void revokedKeysFailOnACutOffGalleryToo() {
         var play = new Play(131).up();
--- a/src/test/java/wellwheel/tide/Ledger.java
+++ b/src/test/java/wellwheel/tide/Ledger.java
@@ -22,7 +22,7 @@
         final String service;
         final String orderKey;
         final long sentUs;
-        final byte[] body;
+        byte[] body;
         long acceptedUs = Long.MAX_VALUE;
         long firstStartUs = Long.MAX_VALUE;
         long endedUs = Long.MAX_VALUE;
