--- a/src/main/java/wellwheel/gallery/Gallery.java
+++ b/src/main/java/wellwheel/gallery/Gallery.java
@@ -32,6 +32,7 @@
         ready.open(options.ready());
         ready.watch();
         station.clock().every(TICK_US, node::tick);
+        station.onSeeds(node.claim()::addPilots);
         station.onTerm(this::leave);
         LOG.log(System.Logger.Level.INFO, "gallery " + options.node() + " is up");
     }
--- a/src/main/java/wellwheel/keeper/Keeper.java
+++ b/src/main/java/wellwheel/keeper/Keeper.java
@@ -25,6 +25,7 @@
         node = new KeeperNode(options, station.clock(), links, disk, courier, new SecureRandom().nextLong());
         links.open(node);
         station.clock().every(TICK_US, node::tick);
+        station.onSeeds(node.claim()::addPilots);
         station.onTerm(this::leave);
         LOG.log(System.Logger.Level.INFO, "keeper " + node.id() + " is up with " + node.liveMessages() + " messages");
     }
--- a/src/main/java/wellwheel/lantern/Claim.java
+++ b/src/main/java/wellwheel/lantern/Claim.java
@@ -113,7 +113,11 @@
         var offsetUs = frame.number("core") + (nowUs - confirmedUs) / 2 - nowUs;
         coreOffsetUs = offsetUs;
         coreKnown = true;
-        frame.texts("voters").forEach(this::addPilot);
+        addPilots(frame.texts("voters"));
+    }
+
+    public void addPilots(List<String> ips) {
+        ips.forEach(this::addPilot);
     }
 
     private void addPilot(String ip) {
--- a/src/main/java/wellwheel/lantern/Station.java
+++ b/src/main/java/wellwheel/lantern/Station.java
@@ -4,8 +4,10 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadFactory;
+import java.util.function.Consumer;
 import sun.misc.Signal;
 
 public final class Station {
@@ -15,6 +17,7 @@
     private final EventLoop loop;
     private final LoopClock clock;
     private final Options options;
+    private Consumer<List<String>> seedTaker = seeds -> { };
 
     private Station(Options options) {
         this.options = options;
@@ -64,6 +67,10 @@
         return clock;
     }
 
+    public void onSeeds(Consumer<List<String>> taker) {
+        seedTaker = taker;
+    }
+
     public void onTerm(Runnable leave) {
         Signal.handle(new Signal("TERM"), signal -> loop.execute(() -> LoopClock.guarded(leave)));
         Signal.handle(new Signal("INT"), signal -> loop.execute(() -> LoopClock.guarded(leave)));
@@ -73,8 +80,8 @@
     private void reread() {
         try {
             var fresh = Options.load();
-            var same = fresh.equals(options);
-            LOG.log(System.Logger.Level.INFO, same ? "options read again, nothing that runs is changed" : "options changed; what is not read at a start is taken now");
+            seedTaker.accept(fresh.seeds().stream().map(Options::hostOf).toList());
+            LOG.log(System.Logger.Level.INFO, fresh.equals(options) ? "options read again, unchanged" : "options changed: new seeds are taken now, the rest at the next start");
         } catch (Options.Unusable e) {
             LOG.log(System.Logger.Level.ERROR, "code=" + Codes.BAD_OPTIONS.number() + " kept the old options: " + e.getMessage());
         }
