Capacity forecast from queue history: kept by every keeper, read whole, checked on a past season

Keepers count by team and service what is offered by when it is due, started, late, the slot time used, ends and what waits, in cells that only grow and merge by maximum, in a checksummed file of its own and at the next n keepers. tender history and tender forecast; off unless History.Enabled is set. The hollow fleet can hold a backlog and runs without the watches.

--- a/src/main/java/wellwheel/gallery/GalleryNode.java
+++ b/src/main/java/wellwheel/gallery/GalleryNode.java
@@ -18,6 +18,7 @@
 import wellwheel.lantern.Frame;
 import wellwheel.lantern.Layout;
 import wellwheel.lantern.Options;
+import wellwheel.lantern.QueueHistory;
 import wellwheel.lantern.Waker;
 import wellwheel.lantern.Wire;
 
@@ -99,6 +100,7 @@
     private final String id;
     private final Limiter limiter;
     private final Relays relays;
+    private final QueueHistory history;
     private final Waker waker;
     private List<Layout.Member> peers = List.of();
     private long peersVersion = -1;
@@ -127,6 +129,7 @@
         var seeds = options.seeds().stream().map(Options::hostOf).toList();
         claim = new Claim(clock, wire, id, seeds, () -> Frame.of("claim").with("role", "gallery").with("zone", options.zone()).with("leaving", leaving), this::onNews);
         limiter = new Limiter(id, options.windowUs(), claim::coreUs);
+        history = new QueueHistory(options, Long.toHexString(incarnation & 0xffffffffL), Optional.empty(), claim::coreUs);
         waker = new Waker(clock, this::tick);
         relays = new Relays(clock, wire, options.zone());
         relays.named(options.node());
@@ -300,6 +303,7 @@
         put.tenantKey = tenant.map(each -> "t:" + each.name()).orElse("");
         var channel = limiter.hit(put.channelKey, new Limiter.Limit(options.channelPerS(), options.channelPerS()), share);
         if (!channel.admitted()) {
+            history.refused(tenant.map(Charter.Tenant::name).orElse(""), path.service());
             refuse(exchange, put.channelKey, channel);
             return;
         }
@@ -307,6 +311,7 @@
             var verdict = limiter.hit(put.tenantKey, new Limiter.Limit(tenant.get().perS(), tenant.get().burst()), share);
             if (!verdict.admitted()) {
                 limiter.giveBack(put.channelKey);
+                history.refused(tenant.get().name(), path.service());
                 refuse(exchange, put.tenantKey, verdict);
                 return;
             }
@@ -429,6 +434,7 @@
         if (!put.tenantKey.isEmpty()) {
             limiter.giveBack(put.tenantKey);
         }
+        claim.charter().path(put.frame.text("h"), put.frame.text("p")).ifPresent(path -> history.refused(put.frame.text("t"), path.service()));
         put.exchange.answer(Answer.later(Codes.NOT_KEPT, 1));
     }
 
@@ -771,6 +777,7 @@
             case "look.ok" -> onLookOk(from, frame);
             case "end.ok" -> onEndOk(frame);
             case "job" -> onJob(from, frame);
+            case "history.ask" -> wire.send(from, history.answer(frame));
             case "hungry" -> onHungry(from, frame);
             case "hits" -> onHits(from, frame);
             case "hits.up" -> {
--- a/src/main/java/wellwheel/keeper/KeeperNode.java
+++ b/src/main/java/wellwheel/keeper/KeeperNode.java
@@ -24,6 +24,7 @@
 import wellwheel.lantern.Journal;
 import wellwheel.lantern.Layout;
 import wellwheel.lantern.Options;
+import wellwheel.lantern.QueueHistory;
 import wellwheel.lantern.Shift;
 import wellwheel.lantern.Wire;
 
@@ -131,6 +132,7 @@
     private final Claim claim;
     private final Lookout lookout = new Lookout();
     private final Versions versions = new Versions();
+    private final QueueHistory history;
     private final String id;
     private final Map<String, Long> heardUs = new HashMap<>();
     private final Map<String, Long> brokenUs = new HashMap<>();
@@ -165,9 +167,56 @@
         id = options.node() + "#" + diskId;
         var life = Long.toHexString(luck.nextLong());
         var seeds = options.seeds().stream().map(Options::hostOf).toList();
+        history = new QueueHistory(options, life, Optional.of(disk), this::coreNowUs);
         claim = new Claim(clock, wire, id, seeds, () -> Frame.of("claim").with("role", "keeper").with("zone", options.zone()).with("leaving", leaving).with("life", life).with("tally", versions.rows()), this::onNews);
     }
 
+    private long coreNowUs() {
+        return claim.coreUs();
+    }
+
+    private String serviceOf(Message message) {
+        return claim.charter().path(message.host, message.target).map(Charter.Path::service).orElse("");
+    }
+
+    private void keepHistory() {
+        if (!claim.knowsCore()) {
+            return;
+        }
+        history.tick();
+        if (!history.flushDue()) {
+            return;
+        }
+        claim.roster().stream().map(Layout.Processor::service).distinct().forEach(service -> history.slots(service, claim.roster().stream().filter(each -> each.service().equals(service)).mapToLong(Layout.Processor::capacity).sum()));
+        desks.values().stream().filter(desk -> claim.charter().service(desk.service).map(Charter.Service::pull).orElse(false)).forEach(desk -> history.slots(desk.service, desk.demands.size() + running(desk.service)));
+        var waiting = new HashMap<List<String>, Long>();
+        lines.values().stream().filter(line -> line.open).flatMap(line -> line.messages.values().stream()).filter(message -> message.waiting() && message.dueUs <= claim.coreUs()).forEach(message -> waiting.merge(List.of(message.tenant, serviceOf(message)), 1L, Long::sum));
+        waiting.forEach((key, count) -> history.waits(key.get(0), key.get(1), count));
+        var keepers = claim.layout().members("keeper");
+        var mine = keepers.stream().map(Layout.Member::id).toList().indexOf(id);
+        history.flush().ifPresent(frame -> {
+            for (var step = 1; step <= Math.min(options.survive(), keepers.size() - 1); step++) {
+                wire.send(keepers.get((mine + step) % keepers.size()).ip(), frame);
+            }
+        });
+    }
+
+    private long running(String service) {
+        return lines.values().stream().filter(line -> line.open).flatMap(line -> line.messages.values().stream()).filter(message -> message.running && serviceOf(message).equals(service)).count();
+    }
+
+    private void startCounted(Message message, String service) {
+        message.legSinceUs = claim.coreUs();
+        history.starts(message.tenant, service, message.legSinceUs - message.dueUs, message.aimUs, message.leg == 1);
+    }
+
+    private void legCounted(Message message) {
+        if (message.legSinceUs > 0 && history.enabled()) {
+            history.legEnds(message.tenant, serviceOf(message), claim.coreUs() - message.legSinceUs);
+        }
+        message.legSinceUs = 0;
+    }
+
     public Claim claim() {
         return claim;
     }
@@ -235,6 +284,9 @@
         lines.values().forEach(line -> tickLine(line, nowUs));
         refreshDesks();
         desks.values().forEach(this::pump);
+        if (history.enabled()) {
+            keepHistory();
+        }
         if (options.watch()) {
             lookout.report(desks, claim.coreUs()).ifPresent(frame -> report(frame.with("node", id)));
         }
@@ -580,6 +632,8 @@
             case "giveback" -> onGiveBack(frame);
             case "outcome" -> onForwarded(from, frame);
             case "outcome.ok" -> onOutcomeOk(frame);
+            case "history.keep" -> history.keep(frame);
+            case "history.ask" -> wire.send(from, history.answer(frame));
             case "watch.ask" -> wire.send(from, lookout.rows(desks, frame.texts("services"), claim.coreUs()).with("node", id));
             default -> { }
         }
@@ -778,6 +832,9 @@
         line.messages.put(message.id, message);
         liveBytes += message.body.length;
         message.nextUs = message.dueUs;
+        if (history.enabled()) {
+            history.arrived(message.tenant, serviceOf(message), message.dueUs);
+        }
         enlist(line, message);
         answerPut(line, message, from, rid);
         replicate(line, message, message::whole, true, () -> keptNow(line, message));
@@ -1104,6 +1161,7 @@
         if (options.watch()) {
             lookout.begins(service, demand.worker(), message.host + message.target, message.lease, claim.coreUs());
         }
+        startCounted(message, service);
         wire.send(demand.galleryIp(), Frame.of("job").with("token", demand.token()).with("line", line.number).with("id", message.id).with("lease", message.lease)
             .with("method", message.method).with("target", message.target).with("tenant", message.tenant).with("type", message.contentType).with("okey", message.orderKey).with("body", message.body));
         message.untilUs = claim.coreUs() + options.visibleUs();
@@ -1120,6 +1178,7 @@
                     watchLease(line, message, lease);
                     return;
                 }
+                legCounted(message);
                 message.running = false;
                 message.nextUs = 0;
                 lookout.ends(lease, false, claim.coreUs());
@@ -1222,8 +1281,10 @@
         if (options.watch()) {
             lookout.begins(desk.service, berth.processor.id(), path.name(), lease, claim.coreUs());
         }
+        startCounted(message, desk.service);
         courier.deliver(leg, outcome -> {
             synchronized (this) {
+                legCounted(message);
                 berth.running--;
                 legsRunning--;
                 judge(berth, outcome);
@@ -1344,6 +1405,9 @@
 
     private void finish(Line line, Message message, Message.State state, String seal, String lease, Runnable then) {
         message.rev++;
+        if (history.enabled()) {
+            history.ended(message.tenant, serviceOf(message), state == Message.State.FINISHED);
+        }
         message.state = state;
         message.seal = seal;
         message.endedLease = lease;
@@ -1449,6 +1513,7 @@
 
     private void endTaken(Line line, Message message, String lease, Frame frame, Runnable then) {
         var result = frame.small("result");
+        legCounted(message);
         lookout.ends(lease, result / 100 == 2, claim.coreUs());
         if (result != 503 && result != 429 && result != 400) {
             judged(message, result / 100 != 2 || frame.text("seal").isEmpty());
--- a/src/main/java/wellwheel/keeper/Message.java
+++ b/src/main/java/wellwheel/keeper/Message.java
@@ -43,6 +43,7 @@
     long aimUs;
     long stamp;
     int bounces;
+    long legSinceUs;
     long offeredUs;
     int rank;
     boolean spentOnNew;
--- a/src/main/java/wellwheel/lantern/Codes.java
+++ b/src/main/java/wellwheel/lantern/Codes.java
@@ -28,6 +28,7 @@
     NO_SERVICE(4004, 404, "no such service, or no policy for it"),
     BAD_POLICY(4005, 400, "the policy is invalid"),
     OTHER_SHIFT(4006, 409, "the shift is not in a state for this order"),
+    BAD_RANGE(4007, 400, "the range of history is not one"),
     BAD_OPTIONS(5000, 0, "the options file is unusable; the process ends with status 78"),
     JOURNAL_CUT(5001, 0, "a damaged journal tail was cut"),
     LINE_LOST(5002, 0, "all copies of a line are gone; it starts empty"),
@@ -38,7 +39,8 @@
     HELD_BACK(5010, 0, "a tenant waits far longer than others of its partition"),
     LAGGARD(5011, 0, "a worker has fallen behind its peers"),
     WARNING_ENDS(5012, 0, "a warning is over"),
-    SHIFT_MOVES(5013, 0, "a version shift starts, takes a step, ends or goes back");
+    SHIFT_MOVES(5013, 0, "a version shift starts, takes a step, ends or goes back"),
+    HISTORY_DAMAGED(5014, 0, "damaged records of queue history were skipped");
 
     private final int number;
     private final int status;
--- a/src/main/java/wellwheel/lantern/Journal.java
+++ b/src/main/java/wellwheel/lantern/Journal.java
@@ -50,6 +50,31 @@
         return records;
     }
 
+    public int replaySkipping(Consumer<Frame> reader) {
+        var buffer = ByteBuffer.wrap(disk.load(name));
+        var damaged = 0;
+        while (buffer.remaining() >= HEAD) {
+            var length = buffer.getInt();
+            var sum = buffer.getInt();
+            if (length <= 0 || length > buffer.remaining()) {
+                return damaged + 1;
+            }
+            var record = new byte[length];
+            buffer.get(record);
+            try {
+                if (sum == sumOf(record)) {
+                    reader.accept(Frame.unpack(record));
+                } else {
+                    damaged++;
+                }
+            } catch (IllegalArgumentException e) {
+                damaged++;
+            }
+        }
+        bytesLong = Math.max(bytesLong, buffer.position());
+        return damaged;
+    }
+
     public void append(byte[] record, Runnable synced) {
         var framed = framed(record);
         bytesLong += framed.length;
--- a/src/main/java/wellwheel/lantern/Options.java
+++ b/src/main/java/wellwheel/lantern/Options.java
@@ -12,7 +12,9 @@
 
 public record Options(String node, String ip, String zone, String front, String ready, String control, int innerPort, List<String> seeds,
                       boolean firstBoot, String dataDir, int survive, long revokeUs, long applyUs, long windowUs, long visibleUs, long statusUs,
-                      long graceUs, String platform, double platformPerS, int maxFiles, double channelPerS, long syncUs, boolean watch, int surviveZones) {
+                      long graceUs, String platform, double platformPerS, int maxFiles, double channelPerS, long syncUs, boolean watch, int surviveZones, History history) {
+
+    public record History(boolean enabled, long intervalUs, long flushUs) { }
 
     public static final class Unusable extends Exception {
         Unusable(String why) {
@@ -46,12 +48,20 @@
                 (long) (amount(timing, "GraceS", 6) * 1e6), word(platform, "Address", ""), amount(platform, "RatePerS", 1),
                 (int) amount(part(root, "Caps"), "MaxFiles", 4096), amount(part(root, "Admission"), "ChannelPerS", 500), us(part(root, "Admission"), "SyncEveryMs", 100),
                 part(root, "Watch").has("Enabled") && part(root, "Watch").get("Enabled").getAsBoolean(),
-                (int) amount(part(root, "Survive"), "Zones", 0));
+                (int) amount(part(root, "Survive"), "Zones", 0), history(part(root, "History")));
         } catch (RuntimeException e) {
             throw new Unusable("the options file is not usable: " + e.getMessage());
         }
     }
 
+    private static History history(JsonObject from) {
+        var found = new History(from.has("Enabled") && from.get("Enabled").getAsBoolean(), (long) (amount(from, "IntervalS", 3600) * 1e6), (long) (amount(from, "FlushS", 60) * 1e6));
+        if (found.intervalUs < 1_000_000 || found.intervalUs > 86_400_000_000L || found.flushUs < 500_000 || found.flushUs > found.intervalUs) {
+            throw new IllegalArgumentException("History: IntervalS is 1 to 86400, FlushS 0.5 to IntervalS");
+        }
+        return found;
+    }
+
     private static JsonElement need(JsonObject from, String field) {
         if (!from.has(field) || from.get(field).isJsonNull()) {
             throw new IllegalArgumentException(field + " is missing");
--- a/src/main/java/wellwheel/lighthouse/Lighthouse.java
+++ b/src/main/java/wellwheel/lighthouse/Lighthouse.java
@@ -2,19 +2,32 @@
 
 import wellwheel.gallery.Gallery;
 import wellwheel.keeper.Keeper;
+import wellwheel.lantern.Codes;
+import wellwheel.lantern.QueueHistory;
 import wellwheel.lantern.Station;
 
 public final class Lighthouse {
     private static final System.Logger LOG = System.getLogger("lighthouse");
     private static final int USAGE_STATUS = 64;
+    private static final int BAD_STATE_STATUS = 79;
 
     private Lighthouse() { }
 
+    private static void keeper() throws InterruptedException {
+        try {
+            new Keeper(Station.start());
+        } catch (QueueHistory.Unreadable e) {
+            LOG.log(System.Logger.Level.ERROR, "code=" + Codes.BAD_STATE.number() + " " + e.getMessage());
+            System.out.flush();
+            Runtime.getRuntime().halt(BAD_STATE_STATUS);
+        }
+    }
+
     public static void main(String[] arguments) throws Exception {
         var role = arguments.length == 1 ? arguments[0] : "";
         switch (role) {
             case "gallery" -> new Gallery(Station.start());
-            case "keeper" -> new Keeper(Station.start());
+            case "keeper" -> keeper();
             case "warmup" -> Warmup.run();
             default -> {
                 LOG.log(System.Logger.Level.ERROR, "usage: lighthouse gallery|keeper");
--- a/src/main/java/wellwheel/pilot/Pilot.java
+++ b/src/main/java/wellwheel/pilot/Pilot.java
@@ -98,6 +98,7 @@
             case "GET Retire.Read" -> answer(exchange, this.node.retireState(node));
             case "GET Nodes.Read" -> answer(exchange, this.node.nodes());
             case "GET Lines.Read" -> answer(exchange, this.node.linesNow());
+            case "GET History.Read" -> history(exchange);
             case "GET Warnings.Read" -> answer(exchange, this.node.warningsNow());
             case "GET Shift.Read" -> answer(exchange, this.node.shiftState(node));
             case "POST Shift.Set", "POST Shift.Start", "POST Shift.Hold", "POST Shift.Resume", "POST Shift.Revert" ->
@@ -107,6 +108,16 @@
         }
     }
 
+    private void history(Exchange exchange) {
+        var range = exchange.target().replaceFirst("^[^?]*\\??", "");
+        if (!range.matches("from=[0-9]{1,18}&to=[0-9]{1,18}")) {
+            answer(exchange, PilotNode.Reply.of(Codes.BAD_RANGE, "from and to are whole microseconds"));
+            return;
+        }
+        var parts = range.split("[=&]");
+        node.history(Long.parseLong(parts[1]), Long.parseLong(parts[3]), reply -> answer(exchange, reply));
+    }
+
     private static boolean soundOrder(Exchange exchange) {
         try {
             var body = new String(exchange.body(), StandardCharsets.UTF_8);
--- a/src/main/java/wellwheel/pilot/PilotNode.java
+++ b/src/main/java/wellwheel/pilot/PilotNode.java
@@ -33,6 +33,10 @@
     private static final int TAKEN_KEPT = 64;
     private static final int HOLDERS_MOST = 4096;
     private static final int BALANCED_AT_ONCE = 8;
+    private static final long HISTORY_MOST_US = 400L * 86_400_000_000L;
+    private static final long HISTORY_ASK_US = 500_000;
+    private static final int HISTORY_TRIES = 5;
+    private static final int GATHERS_MOST = 4;
     private static final long FAR = 1_000_000;
     private static final long NEAR = 1_000;
     private static final int FAR_BALANCE = 3;
@@ -94,6 +98,8 @@
     private final Warnings warnings = new Warnings();
     private long shiftsVersion;
     private long askedWatchUs;
+    private final Map<Long, HistoryGather> gathers = new HashMap<>();
+    private long lastGather;
     private final Set<String> shiftPending = new LinkedHashSet<>();
 
     public PilotNode(Options options, Clock clock, Wire wire, Disk disk, long seed) {
@@ -257,6 +263,7 @@
             case "line.lost" -> onLost(frame);
             case "line.reopen" -> onReopen(frame);
             case "watch" -> onWatch(frame);
+            case "history.rows" -> onHistory(from, frame);
             default -> { }
         }
     }
@@ -490,6 +497,51 @@
         });
     }
 
+    public void history(long fromUs, long toUs, Consumer<Reply> answer) {
+        var elsewhere = elsewhere("/History.Read?from=" + fromUs + "&to=" + toUs);
+        if (elsewhere.isPresent()) {
+            answer.accept(elsewhere.get());
+            return;
+        }
+        synchronized (this) {
+            if (fromUs >= toUs || toUs - fromUs > HISTORY_MOST_US || gathers.size() >= GATHERS_MOST) {
+                answer.accept(fromUs < toUs && toUs - fromUs <= HISTORY_MOST_US ? Reply.of(Codes.NO_LEADER, "too many questions at once") : Reply.of(Codes.BAD_RANGE, "from must lie before to, 400 days apart at most"));
+                return;
+            }
+            var rid = ++lastGather;
+            var gather = new HistoryGather(fromUs, toUs, holders.values().stream().filter(holder -> !holder.member.role().equals("pilot")).map(holder -> holder.member).toList(), answer);
+            gathers.put(rid, gather);
+            askHistory(rid, gather, HISTORY_TRIES);
+        }
+    }
+
+    private void askHistory(long rid, HistoryGather gather, int tries) {
+        if (gathers.get(rid) != gather) {
+            return;
+        }
+        if (tries == 0 || gather.whole()) {
+            gathers.remove(rid);
+            gather.tell(service -> charter.service(service).map(Charter.Service::pull).orElse(false), coreUs());
+            return;
+        }
+        gather.missing().forEach(member -> wire.send(member.ip(), Frame.of("history.ask").with("rid", rid).with("from", gather.fromUs()).with("to", gather.toUs())));
+        clock.after(HISTORY_ASK_US, () -> {
+            synchronized (this) {
+                askHistory(rid, gather, tries - 1);
+            }
+        });
+    }
+
+    private synchronized void onHistory(String from, Frame frame) {
+        var rid = frame.number("rid");
+        Optional.ofNullable(gathers.get(rid)).ifPresent(gather -> {
+            gather.take(from, frame);
+            if (gather.whole()) {
+                askHistory(rid, gather, 0);
+            }
+        });
+    }
+
     public Reply warningsNow() {
         return elsewhere("/Warnings.Read").orElseGet(() -> {
             synchronized (this) {
--- a/src/main/java/wellwheel/tender/Tender.java
+++ b/src/main/java/wellwheel/tender/Tender.java
@@ -19,6 +19,7 @@
 import java.util.TreeSet;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -190,6 +191,17 @@
         }
     }
 
+    @Command(name = "history", description = "What the queues went through, by interval, team and service.")
+    void history(@Mixin HistoryCalls.Choice choice, @Option(names = "--late", description = "only intervals in which more than a twentieth started late") boolean late) {
+        new HistoryCalls(this, choice).history(late);
+    }
+
+    @Command(name = "forecast", description = "The accelerator capacity that each team's work will need.")
+    void forecast(@Mixin HistoryCalls.Choice choice, @Option(names = "--horizon", defaultValue = "24", paramLabel = "H", description = "hours ahead; default ${DEFAULT-VALUE}") int horizonH,
+                  @Option(names = "--backtest", defaultValue = "0", paramLabel = "DAYS", description = "check it on the last days instead, each forecast from what came before") int backtestDays) {
+        new HistoryCalls(this, choice).forecast(horizonH, backtestDays);
+    }
+
     @Command(name = "codes", description = "The table of result codes.")
     void codes() {
         for (var code : Codes.values()) {
--- a/src/main/java/wellwheel/tide/Fleet.java
+++ b/src/main/java/wellwheel/tide/Fleet.java
@@ -43,6 +43,8 @@
     double changesPerS = 0;
     @Option(names = "--near-limit", description = "part of its rate limit that each tenant uses (default ${DEFAULT-VALUE})")
     double nearLimit = 0.6;
+    @Option(names = "--backlog", description = "messages that wait, to measure their memory and disk (default ${DEFAULT-VALUE})")
+    int backlog = 0;
     @Option(names = "--seconds", description = "simulated seconds measured (default ${DEFAULT-VALUE})")
     int seconds = 10;
     @Option(names = "--seed", description = "seed (default ${DEFAULT-VALUE})")
@@ -58,6 +60,7 @@
     private long finished;
     private long revision;
     private boolean load = true;
+    private double[] backlogBytes = {0, 0};
 
     public static void main(String[] arguments) {
         System.exit(new CommandLine(new Fleet()).execute(arguments));
@@ -73,6 +76,9 @@
         System.out.printf(Locale.ROOT, "%-8s %6s %12s %12s %12s %12s %10s %8s%n", "role", "nodes", "frames out/s", "bytes out/s", "frames in/s", "bytes in/s", "wakes/s", "cpu");
         rows.forEach(row -> System.out.printf(Locale.ROOT, "%-8s %6d %12.1f %12.0f %12.1f %12.0f %10.1f %7.2f%%%n", row.role(), row.nodes(), row.framesOutPerS(), row.bytesOutPerS(), row.framesInPerS(), row.bytesInPerS(), row.wakeUpsPerS(), row.cpuShare() * 100));
         System.out.printf(Locale.ROOT, "handed in %d, accepted %d, finished %d, configuration %d, reference loop %.0f ns%n", sent, accepted, finished, revision, referenceNs());
+        if (backlog > 0) {
+            System.out.printf(Locale.ROOT, "a waiting message with a body of 800 bytes takes %.0f bytes of memory and %.0f of disk a copy%n", backlogBytes[0], backlogBytes[1]);
+        }
         if (kinds) {
             world.traffic().entrySet().stream().sorted((a, b) -> Long.compare(b.getValue()[1], a.getValue()[1]))
                 .forEach(entry -> System.out.printf(Locale.ROOT, "  %-32s %10.1f frames/s %12.0f bytes/s%n", entry.getKey(), (double) entry.getValue()[0] / seconds, (double) entry.getValue()[1] / seconds));
@@ -83,6 +89,7 @@
     public List<Row> measure() {
         var names = IntStream.range(0, zones).mapToObj(zone -> "zone-" + zone).toList();
         world = new World(new World.Shape(names, Math.max(1, galleries / zones), keepers, 200, 500, 700, 600_000, 100_000, pilots, survive), seed, this);
+        world.withoutWatch();
         feedRoster();
         world.runFor(6 * SECOND);
         var taken = new ArrayList<Codes>();
@@ -91,6 +98,9 @@
         if (!taken.contains(Codes.FINE)) {
             throw new IllegalStateException("the fleet took no configuration: " + taken);
         }
+        if (backlog > 0) {
+            pileUp();
+        }
         if (perS > 0) {
             IntStream.range(0, (int) Math.ceil(perS * 0.5 * 0.4 * 1.6)).forEach(slot -> worker());
             hand();
@@ -105,6 +115,24 @@
         return List.of("gallery", "keeper", "pilot").stream().map(this::row).toList();
     }
 
+    private void pileUp() {
+        var heapBefore = heapBytes();
+        var diskBefore = world.journalBytesInAll("keeper");
+        for (var number = 0; number < backlog; number++) {
+            var headers = Map.of("Host", HOST, "Attempt-Id", "waits-" + number, "Authorization", "Bearer key-" + number % tenants, "Time-Left-Ms", "9000", "Delay-Ms", "900000000");
+            world.after(number * 500L, () -> world.ask(anyGallery(), "POST", "/pulled/x", headers, new byte[800], answer -> accepted += answer.filter(each -> each.code() == Codes.KEPT).isPresent() ? 1 : 0));
+        }
+        world.runFor(backlog * 500L + 5 * SECOND);
+        var disk = world.journalBytesInAll("keeper") - diskBefore;
+        var copies = Math.max(1.0, accepted * (1.0 + Math.max(1, survive)));
+        backlogBytes = new double[] {(heapBytes() - heapBefore - disk) / copies, disk / copies};
+    }
+
+    private static long heapBytes() {
+        System.gc();
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
     public long acceptedCount() {
         return accepted;
     }
@@ -175,7 +203,7 @@
             paths.add(path("end" + index, false));
             services.add(service("end" + index, false, "\"10.9." + index / 250 + "." + (index % 250 + 1) + ":80\"", Math.max(20, perS / endpoints * 2)));
         });
-        var rate = Math.max(1, Math.round(perS / tenants / nearLimit));
+        var rate = Math.max(backlog > 0 ? 100_000 : 1, Math.round(perS / tenants / nearLimit));
         var customers = IntStream.range(0, tenants).mapToObj(index -> "{\"Name\":\"t" + index + "\",\"ApiKeys\":[\"key-" + index + "\"],\"RatePerS\":" + rate + ",\"Burst\":" + rate + "}").toList();
         return "{\"Revision\":" + number + ",\"Routing\":[" + String.join(",", paths) + "],\"Backends\":[" + String.join(",", services) + "],\"Customers\":[" + String.join(",", customers) + "]}";
     }
--- a/src/main/java/wellwheel/tide/World.java
+++ b/src/main/java/wellwheel/tide/World.java
@@ -436,6 +436,18 @@
     private long syncs;
     private final List<Long> keeperEndsUs = new ArrayList<>();
 
+    private boolean watch = true;
+
+    private boolean history;
+
+    public void withHistory() {
+        history = true;
+    }
+
+    public void withoutWatch() {
+        watch = false;
+    }
+
     public World(Shape shape, long seed, Processors processors) {
         this.shape = shape;
         this.luck = new Random(seed);
@@ -467,7 +479,7 @@
         var seeds = hosts.values().stream().filter(each -> each.role.equals("pilot")).limit(3).map(each -> "\"" + each.ip + ":8741\"").toList();
         try {
             return Options.read("{\"NodeName\":\"" + host.name + "\",\"Ip\":\"" + host.ip + "\",\"Zone\":\"" + host.zone + "\",\"ListenOn\":{\"Control\":\"" + host.ip + ":8741\"},"
-                + "\"InternalPorts\":[7100,7115],\"SeedNodes\":" + seeds + ",\"FirstBoot\":" + host.firstBoot + ",\"Survive\":{\"Machines\":" + shape.survive() + "},\"Watch\":{\"Enabled\":true},\"Admission\":{\"SyncEveryMs\":" + shape.syncEveryUs() / 1000 + "}}");
+                + "\"InternalPorts\":[7100,7115],\"SeedNodes\":" + seeds + ",\"FirstBoot\":" + host.firstBoot + ",\"Survive\":{\"Machines\":" + shape.survive() + "},\"Watch\":{\"Enabled\":" + watch + "},\"History\":{\"Enabled\":" + history + ",\"IntervalS\":5,\"FlushS\":1},\"Admission\":{\"SyncEveryMs\":" + shape.syncEveryUs() / 1000 + "}}");
         } catch (Options.Unusable e) {
             throw new IllegalStateException(e);
         }
@@ -541,6 +553,10 @@
         return hosts(role).stream().flatMap(host -> host.disk.files.values().stream()).mapToLong(file -> file.synced.size()).max().orElse(0);
     }
 
+    public long journalBytesInAll(String role) {
+        return hosts(role).stream().flatMap(host -> host.disk.files.values().stream()).mapToLong(file -> file.synced.size()).sum();
+    }
+
     public long frames() {
         return frames;
     }
