Step dependence: Runs-After, steps that failed hold the later ones, tender steps

A message may name up to eight accepted ones that it runs after; the names stand in its record, its primary asks those of the named steps' lines and starts nothing on a guess. A failed step holds its later ones until an operator releases or drops them. tender steps and warnings name a step's attempts and machines, what is certain about each, and the later steps by order key or name, with what holds each. Without the header frames and disk are as before.

--- a/src/main/java/wellwheel/gallery/GalleryNode.java
+++ b/src/main/java/wellwheel/gallery/GalleryNode.java
@@ -5,10 +5,12 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import wellwheel.lantern.Charter;
 import wellwheel.lantern.Claim;
 import wellwheel.lantern.Clock;
@@ -37,6 +39,7 @@
     private static final int ASKED_MOST = 3;
     private static final int QUIET_INTERVALS = 4;
     private static final int OPEN_MOST = 8192;
+    private static final int STEPS_MOST = 8;
 
     private static final class Put {
         Exchange exchange;
@@ -64,6 +67,7 @@
         final Set<String> sure = new HashSet<>();
         Optional<Frame> best = Optional.empty();
         boolean wide;
+        Optional<Consumer<String>> step = Optional.empty();
     }
 
     private static final class End {
@@ -293,10 +297,40 @@
             exchange.answer(Answer.later(Codes.NOT_KEPT, 1).closing());
             return;
         }
-        admit(exchange, path.get(), tenant, name, delayMs * 1000);
+        var steps = exchange.header("Runs-After");
+        if (steps.isPresent()) {
+            checkSteps(exchange, steps.get(), path.get(), tenant, name, delayMs * 1000);
+        } else {
+            admit(exchange, path.get(), tenant, name, delayMs * 1000, List.of());
+        }
     }
 
-    private void admit(Exchange exchange, Charter.Path path, Optional<Charter.Tenant> tenant, String name, long delayUs) {
+    private void checkSteps(Exchange exchange, String list, Charter.Path path, Optional<Charter.Tenant> tenant, String name, long delayUs) {
+        var names = List.of(list.trim().split(" *, *", -1));
+        if (names.size() > STEPS_MOST || names.stream().anyMatch(each -> !each.matches("[A-Za-z0-9._\\-]{1,64}")) || tenant.isEmpty()) {
+            exchange.answer(Answer.of(Codes.BAD_STEPS));
+            return;
+        }
+        var found = new ArrayList<String>();
+        names.forEach(each -> {
+            var look = new Look();
+            look.exchange = exchange;
+            look.untilUs = clock.steadyUs() + LOOK_US;
+            look.step = Optional.of(step -> {
+                if (step.isEmpty()) {
+                    exchange.answer(Answer.of(Codes.NO_STEP));
+                    return;
+                }
+                found.add(step);
+                if (found.size() == names.size()) {
+                    admit(exchange, path, tenant, name, delayUs, List.copyOf(new LinkedHashSet<>(found)));
+                }
+            });
+            startLook(look, each, tenant.get().name(), "");
+        });
+    }
+
+    private void admit(Exchange exchange, Charter.Path path, Optional<Charter.Tenant> tenant, String name, long delayUs, List<String> steps) {
         var share = share();
         var put = new Put();
         put.channelKey = "c:" + path.name();
@@ -319,7 +353,7 @@
         if (limiter.urgent()) {
             waker.by(drainedUs + URGENT_US);
         }
-        keep(exchange, put, path, tenant, name, delayUs);
+        keep(exchange, put, path, tenant, name, delayUs, steps);
     }
 
     private void refuse(Exchange exchange, String key, Limiter.Verdict verdict) {
@@ -330,7 +364,7 @@
         exchange.answer(Answer.later(Codes.OVER_QUOTA, Math.max(1, (verdict.retryAfterUs() + 999_999) / 1_000_000)));
     }
 
-    private void keep(Exchange exchange, Put put, Charter.Path path, Optional<Charter.Tenant> tenant, String name, long delayUs) {
+    private void keep(Exchange exchange, Put put, Charter.Path path, Optional<Charter.Tenant> tenant, String name, long delayUs, List<String> steps) {
         var nowUs = clock.steadyUs();
         var orderKey = exchange.header("Order-Key").orElse("");
         var tenantName = tenant.map(Charter.Tenant::name).orElse("");
@@ -340,6 +374,9 @@
         put.frame = Frame.of("put").with("i", name).with("t", tenantName).with("h", Charter.plainHost(exchange.header("Host").orElse("")))
             .with("m", exchange.method()).with("p", exchange.target()).with("ct", exchange.header("Content-Type").orElse(""))
             .with("o", path.inOrder() ? orderKey : "").with("delay", delayUs).with("keep", path.keepUs()).with("b", exchange.body());
+        if (!steps.isEmpty()) {
+            put.frame.with("ra", List.<Object>copyOf(steps));
+        }
         var service = claim.charter().service(path.service());
         if (path.inOrder() && !orderKey.isEmpty()) {
             put.fixedLine = Optional.of(spread(tenantName + "\n" + orderKey));
@@ -510,10 +547,14 @@
         look.exchange = exchange;
         look.body = body;
         look.untilUs = clock.steadyUs() + LOOK_US;
+        startLook(look, name, tenant.get().name(), host);
+    }
+
+    private void startLook(Look look, String name, String tenant, String host) {
         var dash = name.indexOf('-');
         look.line = dash > 0 && dash < 3 && name.substring(0, dash).matches("[0-9]+") ? Integer.parseInt(name.substring(0, dash)) : -1;
         look.wide = look.line < 0 || look.line >= Layout.LINES;
-        look.frame = Frame.of("look").with("tenant", tenant.get().name()).with("host", host).with("body", body).with("id", look.wide ? name : name.substring(dash + 1)).with("whole", name);
+        look.frame = Frame.of("look").with("tenant", tenant).with("host", host).with("any", look.step.isPresent()).with("body", look.body).with("id", look.wide ? name : name.substring(dash + 1)).with("whole", name);
         var rid = ++lastRid;
         looks.put(rid, look);
         waker.within(RETRY_US);
@@ -557,13 +598,21 @@
             look.sure.add(from);
             if (look.sure.containsAll(look.asked) && look.best.isEmpty()) {
                 looks.remove(rid);
-                look.exchange.answer(Answer.of(Codes.NO_MESSAGE));
+                if (look.step.isPresent()) {
+                    look.step.get().accept("");
+                } else {
+                    look.exchange.answer(Answer.of(Codes.NO_MESSAGE));
+                }
             }
         }
     }
 
     private void tell(long rid, Look look, Frame frame) {
         looks.remove(rid);
+        if (look.step.isPresent()) {
+            look.step.get().accept(frame.text("step"));
+            return;
+        }
         var state = frame.small("state");
         if (look.body) {
             if (state == 1) {
@@ -587,7 +636,7 @@
                 }
                 continue;
             }
-            if (look.best.isPresent()) {
+            if (look.best.isPresent() && look.step.isEmpty()) {
                 tell(entry.getKey(), look, look.best.get());
             } else {
                 looks.remove(entry.getKey());
--- a/src/main/java/wellwheel/keeper/KeeperNode.java
+++ b/src/main/java/wellwheel/keeper/KeeperNode.java
@@ -44,6 +44,7 @@
     private static final int ORPHANS_MOST = 1024;
     private static final long ORPHAN_US = 8_000_000;
     private static final long UNTOLD_US = 60_000;
+    private static final int STEP_ROWS_MOST = 400;
     private static final int MESSAGES_MOST = 150_000;
     private static final int DEMANDS_MOST = 4096;
     private static final int ASIDE_MOST = 64;
@@ -133,6 +134,7 @@
     private final Lookout lookout = new Lookout();
     private final Versions versions = new Versions();
     private final QueueHistory history;
+    private final Steps steps;
     private final String id;
     private final Map<String, Long> heardUs = new HashMap<>();
     private final Map<String, Long> brokenUs = new HashMap<>();
@@ -167,6 +169,7 @@
         id = options.node() + "#" + diskId;
         var life = Long.toHexString(luck.nextLong());
         var seeds = options.seeds().stream().map(Options::hostOf).toList();
+        steps = new Steps(clock, this::askStep);
         history = new QueueHistory(options, life, Optional.of(disk), this::coreNowUs);
         claim = new Claim(clock, wire, id, seeds, () -> Frame.of("claim").with("role", "keeper").with("zone", options.zone()).with("leaving", leaving).with("life", life).with("tally", versions.rows()), this::onNews);
     }
@@ -207,7 +210,7 @@
 
     private void startCounted(Message message, String service) {
         message.legSinceUs = claim.coreUs();
-        history.starts(message.tenant, service, message.legSinceUs - message.dueUs, message.aimUs, message.leg == 1);
+        history.starts(message.tenant, service, message.legSinceUs - Math.max(message.freedUs, message.dueUs), message.aimUs, message.leg == 1);
     }
 
     private void legCounted(Message message) {
@@ -284,6 +287,7 @@
         lines.values().forEach(line -> tickLine(line, nowUs));
         refreshDesks();
         desks.values().forEach(this::pump);
+        steps.tick(message -> line(message.line).open && present(line(message.line), message) && message.waiting() && !message.after.isEmpty() && message.heldBy.isEmpty());
         if (history.enabled()) {
             keepHistory();
         }
@@ -515,6 +519,7 @@
                 }
                 if (!message.settling) {
                     runSettleWaiters(message);
+                    tellSteps(message);
                 }
                 arrange(line, message);
             }
@@ -632,6 +637,10 @@
             case "giveback" -> onGiveBack(frame);
             case "outcome" -> onForwarded(from, frame);
             case "outcome.ok" -> onOutcomeOk(frame);
+            case "step.ask" -> onStepAsk(from, frame);
+            case "step.ok" -> stepTold(frame.text("step"), Steps.Ended.values()[Math.floorMod(frame.small("ended"), Steps.Ended.values().length)]);
+            case "steps.read" -> onStepsRead(from, frame);
+            case "steps.order" -> onStepsOrder(from, frame);
             case "history.keep" -> history.keep(frame);
             case "history.ask" -> wire.send(from, history.answer(frame));
             case "watch.ask" -> wire.send(from, lookout.rows(desks, frame.texts("services"), claim.coreUs()).with("node", id));
@@ -864,7 +873,7 @@
     private void onLook(String from, Frame frame) {
         var answer = Frame.of("look.ok").with("rid", frame.number("rid"));
         var found = frame.small("line") >= 0 ? Optional.ofNullable(line(frame.small("line")).messages.get(frame.text("id"))) : anywhere(frame.text("id"));
-        var seen = found.filter(message -> message.tenant.equals(frame.text("tenant")) && message.host.equals(frame.text("host")));
+        var seen = found.filter(message -> message.tenant.equals(frame.text("tenant")) && (frame.flag("any") || message.host.equals(frame.text("host"))));
         var sure = frame.small("line") < 0 ? claim.ageUs() < 1_000_000 : line(frame.small("line")).open;
         answer.with("sure", sure).with("found", seen.isPresent());
         if (seen.filter(message -> (message.settling || message.doubted) && message.state == Message.State.FINISHED && message.body.length == 0).isPresent()) {
@@ -874,6 +883,9 @@
             var authority = line(message.line).open;
             var settled = message.waiting() || !message.settling && !message.doubted && !message.untold;
             answer.with("state", settled ? message.state.ordinal() : 0).with("seal", settled ? message.seal : "").with("authority", authority);
+            if (frame.flag("any")) {
+                answer.with("step", Steps.name(message));
+            }
             if (frame.flag("body")) {
                 answer.with("body", message.body).with("type", message.contentType);
             }
@@ -908,6 +920,9 @@
             fail(line, message, "its KeepForS is over");
             return;
         }
+        if (waitsForSteps(line, message)) {
+            return;
+        }
         var atUs = Math.max(message.nextUs, message.dueUs);
         if (atUs > nowUs) {
             agenda.add(new Timed(Math.min(atUs, message.expireUs), message, ++message.stamp));
@@ -917,6 +932,190 @@
         offer(line, message);
     }
 
+    private boolean waitsForSteps(Line line, Message message) {
+        if (message.after.isEmpty() && message.heldBy.isEmpty()) {
+            return false;
+        }
+        for (var step : message.after) {
+            var ended = endedHere(step);
+            if (message.heldBy.isEmpty() && ended != Steps.Ended.NOT_YET) {
+                stepEnded(line, message, step, ended);
+            }
+        }
+        if (message.heldBy.isEmpty()) {
+            steps.await(message);
+        }
+        return !message.after.isEmpty() || !message.heldBy.isEmpty();
+    }
+
+    private Steps.Ended endedHere(String step) {
+        var line = Steps.lineOf(step).map(lines::get).filter(each -> each != null && each.open);
+        return line.isEmpty() ? Steps.Ended.NOT_YET : ended(line.get().messages.get(Steps.idOf(step)));
+    }
+
+    private static Steps.Ended ended(Message message) {
+        if (message == null) {
+            return Steps.Ended.FORGOTTEN;
+        }
+        if (message.waiting() || message.settling || message.doubted) {
+            return Steps.Ended.NOT_YET;
+        }
+        return message.state == Message.State.FINISHED ? Steps.Ended.WELL : Steps.Ended.FAILED;
+    }
+
+    private void stepEnded(Line line, Message message, String step, Steps.Ended ended) {
+        message.rev++;
+        if (ended == Steps.Ended.WELL) {
+            message.after = message.after.stream().filter(each -> !each.equals(step)).toList();
+            message.freedUs = claim.coreUs();
+            replicate(line, message, message::change, true, () -> { });
+            return;
+        }
+        message.heldBy = step;
+        LOG.log(System.Logger.Level.WARNING, "code=" + Codes.STEP_HOLDS.number() + " " + Steps.name(message) + " is held: step " + step + (ended == Steps.Ended.FAILED ? " failed" : " is not known any more"));
+        replicate(line, message, message::change, true, () -> { });
+    }
+
+    private void askStep(String step) {
+        Steps.lineOf(step).flatMap(number -> claim.line(number)).ifPresent(place -> send(place.primary(), Frame.of("step.ask").with("step", step)));
+    }
+
+    private void onStepAsk(String from, Frame frame) {
+        var step = frame.text("step");
+        var line = Steps.lineOf(step).map(lines::get).filter(each -> each != null && each.open);
+        if (line.isEmpty()) {
+            return;
+        }
+        var ended = ended(line.get().messages.get(Steps.idOf(step)));
+        if (ended == Steps.Ended.NOT_YET) {
+            steps.subscribe(step, from);
+        } else {
+            wire.send(from, Frame.of("step.ok").with("step", step).with("ended", ended.ordinal()));
+        }
+    }
+
+    private void stepTold(String step, Steps.Ended ended) {
+        if (ended == Steps.Ended.NOT_YET) {
+            return;
+        }
+        for (var message : steps.take(step)) {
+            var line = line(message.line);
+            if (line.open && present(line, message) && message.waiting() && message.after.contains(step) && message.heldBy.isEmpty()) {
+                stepEnded(line, message, step, ended);
+                arrange(line, message);
+            }
+        }
+    }
+
+    private void tellSteps(Message message) {
+        if (steps.none()) {
+            return;
+        }
+        var step = Steps.name(message);
+        var ended = ended(message);
+        if (ended == Steps.Ended.NOT_YET || !steps.relied(step)) {
+            return;
+        }
+        steps.unsubscribeAll(step).forEach(ip -> wire.send(ip, Frame.of("step.ok").with("step", step).with("ended", ended.ordinal())));
+        stepTold(step, ended);
+    }
+
+    private void onStepsRead(String from, Frame frame) {
+        var rows = new ArrayList<Frame>();
+        if (frame.flag("failed")) {
+            failedSteps(rows);
+        }
+        for (var asked : frame.texts("steps")) {
+            lines.values().stream().filter(line -> line.open).forEach(line -> {
+                var id = Steps.lineOf(asked).filter(number -> number == line.number).isPresent() ? Steps.idOf(asked) : asked;
+                Optional.ofNullable(line.messages.get(id)).ifPresent(message -> {
+                    rows.add(stepRow(line, message, "", ""));
+                    followers(line, message).forEach(later -> rows.add(stepRow(line, later, Steps.name(message), "order")));
+                });
+                line.messages.values().stream().filter(later -> later.waiting() && (later.after.contains(asked) || later.heldBy.equals(asked))).forEach(later -> rows.add(stepRow(line, later, asked, "named")));
+            });
+        }
+        var rest = Math.max(0, rows.size() - STEP_ROWS_MOST);
+        wire.send(from, Frame.of("steps.rows").with("rid", frame.number("rid")).with("rows", List.<Object>copyOf(rows.subList(0, rows.size() - rest))).with("rest", rest));
+    }
+
+    private List<Message> followers(Line line, Message message) {
+        var order = message.orderKey.isEmpty() ? null : line.orders.get(message.orderName());
+        return order == null ? List.of() : order.stream().dropWhile(each -> each != message).skip(1).toList();
+    }
+
+    private void failedSteps(List<Frame> rows) {
+        for (var line : lines.values()) {
+            if (!line.open) {
+                continue;
+            }
+            for (var message : line.messages.values()) {
+                if (message.waiting() && !message.lastOutcome.isEmpty() && (steps.relied(Steps.name(message)) || !followers(line, message).isEmpty())) {
+                    rows.add(stepRow(line, message, "", ""));
+                } else if (message.waiting() && !message.heldBy.isEmpty()) {
+                    rows.add(stepRow(line, message, message.heldBy, "named"));
+                }
+            }
+        }
+    }
+
+    private Frame stepRow(Line line, Message message, String of, String how) {
+        var nowUs = claim.coreUs();
+        return new Frame().with("k", Steps.name(message)).with("t", message.tenant).with("s", serviceOf(message)).with("st", message.state.ordinal()).with("w", message.ranAt)
+            .with("o", message.state == Message.State.FINISHED ? "ran" : message.running ? "runs now" : message.lastOutcome.isEmpty() ? message.leg == 0 ? "not run yet" : "may have run" : message.lastOutcome)
+            .with("at", List.<Object>copyOf(message.attempts)).with("n", Math.max(0, Math.max(message.nextUs, message.dueUs) - nowUs)).with("aim", Math.max(0, message.dueUs + message.aimUs - nowUs)).with("of", of).with("how", how).with("h", hold(line, message, nowUs)).with("f", followers(line, message).size());
+    }
+
+    private String hold(Line line, Message message, long nowUs) {
+        if (!message.waiting()) {
+            return "";
+        }
+        if (!message.heldBy.isEmpty()) {
+            return "held until an operator decides: step " + message.heldBy + " failed or is forgotten";
+        }
+        if (!message.after.isEmpty()) {
+            return "waits for step " + String.join(", ", message.after);
+        }
+        var order = message.orderKey.isEmpty() ? null : line.orders.get(message.orderName());
+        if (order != null && order.peekFirst() != message) {
+            return "waits for " + Steps.name(order.peekFirst()) + ", which is before it in its order";
+        }
+        if (message.running) {
+            return "runs at " + (message.ranAt.isEmpty() ? "a worker" : message.ranAt) + "; another runs it only if this one fails or stays silent";
+        }
+        if (message.dueUs > nowUs) {
+            return "its delay is not over";
+        }
+        return message.nextUs > nowUs ? "waits before its next attempt, by whichever machine is free then" : "waits for a free machine";
+    }
+
+    private void onStepsOrder(String from, Frame frame) {
+        var step = frame.text("step");
+        var answer = Frame.of("steps.done").with("rid", frame.number("rid"));
+        var line = Steps.lineOf(step).map(lines::get).filter(each -> each != null && each.open);
+        var message = line.map(each -> each.messages.get(Steps.idOf(step)));
+        if (message.isEmpty() || !message.get().waiting()) {
+            wire.send(from, answer.with("r", line.isPresent() ? "none" : "elsewhere"));
+        } else if (message.get().after.isEmpty() && message.get().heldBy.isEmpty()) {
+            wire.send(from, answer.with("r", "free"));
+        } else if (frame.flag("drop")) {
+            finish(line.get(), message.get(), Message.State.FAILED, "", "", () -> wire.send(from, answer.with("r", "done")));
+        } else {
+            release(line.get(), message.get(), () -> wire.send(from, answer.with("r", "done")));
+        }
+    }
+
+    private void release(Line line, Message message, Runnable then) {
+        message.after = List.of();
+        message.heldBy = "";
+        message.freedUs = claim.coreUs();
+        message.rev++;
+        replicate(line, message, message::change, true, () -> {
+            then.run();
+            arrange(line, message);
+        });
+    }
+
     private void armAgenda() {
         var first = agenda.peek();
         if (first == null || first.atUs() >= agendaAtUs) {
@@ -1067,6 +1266,7 @@
 
     private void handOutTo(Desk desk, Message message, Desk.Demand demand) {
         runs(message, desk.service, demand.version());
+        message.ranAt = demand.worker().isEmpty() ? "a worker at " + demand.galleryIp() : demand.worker();
         grant(message, options.visibleUs(), (line, granted) -> handOut(line, granted, demand, desk.service));
     }
 
@@ -1179,6 +1379,7 @@
                     return;
                 }
                 legCounted(message);
+                message.notes("silent; may have run");
                 message.running = false;
                 message.nextUs = 0;
                 lookout.ends(lease, false, claim.coreUs());
@@ -1193,6 +1394,7 @@
         var message = line.messages.get(frame.text("id"));
         if (line.open && message != null && message.running && message.lease.equals(frame.text("lease")) && message.waiting() && !message.settling) {
             lookout.ends(message.lease, false, claim.coreUs());
+            message.notes("given back; did not run");
             unrun(line, message, 0);
         }
     }
@@ -1234,6 +1436,7 @@
             legsRunning--;
         };
         runs(picked, desk.service, berth.processor.version());
+        picked.ranAt = berth.processor.id().isEmpty() ? berth.address : berth.processor.id();
         grant(picked, path.giveUpUs() + LEG_SLACK_US, (line, message) -> push(desk, service, berth, line, message, path));
     }
 
@@ -1332,6 +1535,14 @@
         if (!message.lease.equals(lease) || !message.waiting() || message.settling) {
             return;
         }
+        if (outcome.result() != Courier.Result.DONE) {
+            message.notes(switch (outcome.result()) {
+                case FAILED -> "ran and failed";
+                case REFUSED -> "refused for good";
+                case UNKNOWN -> "no whole answer; may have run";
+                default -> "did not run";
+            });
+        }
         switch (outcome.result()) {
             case DONE -> finish(line, message, Message.State.FINISHED, outcome.seal(), lease, () -> { });
             case REFUSED -> finish(line, message, Message.State.FAILED, "", lease, () -> { });
@@ -1433,6 +1644,7 @@
         }
         then.run();
         runSettleWaiters(message);
+        tellSteps(message);
     }
 
     private static void runSettleWaiters(Message message) {
@@ -1519,6 +1731,9 @@
             judged(message, result / 100 != 2 || frame.text("seal").isEmpty());
         }
         message.endedByWorker = result < 400 || result == 422 || result == 500;
+        if (result >= 300 || frame.text("seal").isEmpty()) {
+            message.notes(result == 503 || result == 429 || result == 400 ? "did not run" : result == 422 ? "refused for good" : "ran and failed");
+        }
         if (result >= 200 && result < 300 && !frame.text("seal").isEmpty()) {
             finish(line, message, Message.State.FINISHED, frame.text("seal"), lease, then);
         } else if (result == 422) {
--- a/src/main/java/wellwheel/keeper/Message.java
+++ b/src/main/java/wellwheel/keeper/Message.java
@@ -8,6 +8,8 @@
 final class Message {
     enum State { WAITING, FINISHED, FAILED }
 
+    private static final int ATTEMPTS_MOST = 8;
+
     final int line;
     final String id;
     final String tenant;
@@ -43,6 +45,12 @@
     long aimUs;
     long stamp;
     int bounces;
+    List<String> after = List.of();
+    String heldBy = "";
+    long freedUs;
+    String ranAt = "";
+    String lastOutcome = "";
+    List<String> attempts = List.of();
     long legSinceUs;
     long offeredUs;
     int rank;
@@ -82,6 +90,8 @@
         endedByWorker = frame.flag("w");
         untold = frame.flag("q");
         spentOnNew = frame.flag("z");
+        after = frame.has("ra") ? List.copyOf(frame.texts("ra")) : List.of();
+        heldBy = frame.text("hb");
     }
 
     boolean yieldsTo(String otherLease, long openedEpoch) {
@@ -104,9 +114,22 @@
     Frame change() {
         var frame = Frame.of("u").with("l", line).with("i", id).with("st", state.ordinal()).with("sl", seal).with("en", endedUs)
             .with("f", fails).with("g", leg).with("v", rev).with("ep", epoch).with("w", endedByWorker).with("q", untold).with("z", spentOnNew).with("ee", !lease.isEmpty() && endedLease.equals(lease));
+        if (!after.isEmpty()) {
+            frame.with("ra", List.<Object>copyOf(after));
+        }
+        if (!heldBy.isEmpty()) {
+            frame.with("hb", heldBy);
+        }
         return lease.isEmpty() ? frame : frame.with("le", Long.parseLong(lease.split("\\.")[1]));
     }
 
+    void notes(String outcome) {
+        lastOutcome = outcome;
+        var all = new ArrayList<>(attempts);
+        all.add((ranAt.isEmpty() ? "unknown" : ranAt) + ": " + outcome);
+        attempts = List.copyOf(all.subList(Math.max(0, all.size() - ATTEMPTS_MOST), all.size()));
+    }
+
     boolean olderThan(Frame record) {
         return epoch < record.number("ep") || epoch == record.number("ep") && rev <= record.number("v");
     }
--- a/src/main/java/wellwheel/lantern/Codes.java
+++ b/src/main/java/wellwheel/lantern/Codes.java
@@ -16,6 +16,8 @@
     LEASE_GONE(2009, 409, "the lease is gone"),
     SLOW_HEAD(2010, 408, "the head did not come within HeaderWaitMs"),
     OVER_QUOTA(2011, 429, "over the tenant's or the channel's limit"),
+    NO_STEP(2012, 400, "Runs-After names a message that is not accepted here"),
+    BAD_STEPS(2013, 400, "Runs-After is not a list of one to eight message names"),
     NOT_KEPT(3000, 503, "cannot be kept now; it was not taken and will never run"),
     UNSURE(3001, 504, "unknown whether it was kept"),
     NO_CLAIM(3002, 503, "this node holds no fresh claim"),
@@ -29,6 +31,7 @@
     BAD_POLICY(4005, 400, "the policy is invalid"),
     OTHER_SHIFT(4006, 409, "the shift is not in a state for this order"),
     BAD_RANGE(4007, 400, "the range of history is not one"),
+    NOT_HELD(4008, 409, "the message is not held back by a step"),
     BAD_OPTIONS(5000, 0, "the options file is unusable; the process ends with status 78"),
     JOURNAL_CUT(5001, 0, "a damaged journal tail was cut"),
     LINE_LOST(5002, 0, "all copies of a line are gone; it starts empty"),
@@ -40,7 +43,8 @@
     LAGGARD(5011, 0, "a worker has fallen behind its peers"),
     WARNING_ENDS(5012, 0, "a warning is over"),
     SHIFT_MOVES(5013, 0, "a version shift starts, takes a step, ends or goes back"),
-    HISTORY_DAMAGED(5014, 0, "damaged records of queue history were skipped");
+    HISTORY_DAMAGED(5014, 0, "damaged records of queue history were skipped"),
+    STEP_HOLDS(5015, 0, "a step that failed holds later ones back");
 
     private final int number;
     private final int status;
--- a/src/main/java/wellwheel/pilot/Pilot.java
+++ b/src/main/java/wellwheel/pilot/Pilot.java
@@ -99,7 +99,10 @@
             case "GET Nodes.Read" -> answer(exchange, this.node.nodes());
             case "GET Lines.Read" -> answer(exchange, this.node.linesNow());
             case "GET History.Read" -> history(exchange);
-            case "GET Warnings.Read" -> answer(exchange, this.node.warningsNow());
+            case "GET Warnings.Read" -> this.node.warnings(false, reply -> answer(exchange, reply));
+            case "GET Steps.Failed" -> this.node.warnings(true, reply -> answer(exchange, reply));
+            case "GET Steps.Read" -> this.node.steps(node, reply -> answer(exchange, reply));
+            case "POST Steps.Release", "POST Steps.Drop" -> this.node.decideStep(node, segments[1].equals("Steps.Drop"), reply -> answer(exchange, reply));
             case "GET Shift.Read" -> answer(exchange, this.node.shiftState(node));
             case "POST Shift.Set", "POST Shift.Start", "POST Shift.Hold", "POST Shift.Resume", "POST Shift.Revert" ->
                 this.node.shift(segments[1].substring("Shift.".length()), node, base(exchange), exchange.body(), reply -> answer(exchange, reply));
--- a/src/main/java/wellwheel/pilot/PilotNode.java
+++ b/src/main/java/wellwheel/pilot/PilotNode.java
@@ -37,6 +37,8 @@
     private static final long HISTORY_ASK_US = 500_000;
     private static final int HISTORY_TRIES = 5;
     private static final int GATHERS_MOST = 4;
+    private static final int STEP_ROUNDS = 4;
+    private static final long STEP_ASK_US = 700_000;
     private static final long FAR = 1_000_000;
     private static final long NEAR = 1_000;
     private static final int FAR_BALANCE = 3;
@@ -98,6 +100,8 @@
     private final Warnings warnings = new Warnings();
     private long shiftsVersion;
     private long askedWatchUs;
+    private final Map<Long, StepsGather> stepGathers = new HashMap<>();
+    private final Map<Long, Consumer<Reply>> stepOrders = new HashMap<>();
     private final Map<Long, HistoryGather> gathers = new HashMap<>();
     private long lastGather;
     private final Set<String> shiftPending = new LinkedHashSet<>();
@@ -263,6 +267,8 @@
             case "line.lost" -> onLost(frame);
             case "line.reopen" -> onReopen(frame);
             case "watch" -> onWatch(frame);
+            case "steps.rows" -> onSteps(from, frame);
+            case "steps.done" -> onStepsDone(frame);
             case "history.rows" -> onHistory(from, frame);
             default -> { }
         }
@@ -497,6 +503,106 @@
         });
     }
 
+    public void steps(String wanted, Consumer<Reply> answer) {
+        var elsewhere = elsewhere("/Steps.Read/" + wanted);
+        if (elsewhere.isPresent()) {
+            answer.accept(elsewhere.get());
+        } else {
+            gatherSteps(new StepsGather(wanted, STEP_ROUNDS, gather -> answer.accept(gather.reply())), answer);
+        }
+    }
+
+    public void warnings(boolean stepsOnly, Consumer<Reply> answer) {
+        var elsewhere = elsewhere(stepsOnly ? "/Steps.Failed" : "/Warnings.Read");
+        if (elsewhere.isPresent()) {
+            answer.accept(elsewhere.get());
+            return;
+        }
+        gatherSteps(new StepsGather("", 1, gather -> {
+            var list = new JsonArray();
+            if (!stepsOnly) {
+                warnings.all().forEach(each -> list.add(each.json()));
+            }
+            list.addAll(gather.failed());
+            answer.accept(jsonReply("Warnings", list));
+        }), answer);
+    }
+
+    private synchronized void gatherSteps(StepsGather gather, Consumer<Reply> answer) {
+        if (stepGathers.size() >= GATHERS_MOST) {
+            answer.accept(Reply.of(Codes.NO_LEADER, "too many questions at once"));
+            return;
+        }
+        nextRound(++lastGather, gather);
+    }
+
+    private void nextRound(long rid, StepsGather gather) {
+        var ips = new LinkedHashSet<String>();
+        holders.values().stream().filter(holder -> holder.member.role().equals("keeper")).forEach(holder -> ips.add(holder.member.ip()));
+        stepGathers.put(rid, gather);
+        var ask = gather.round(rid, ips);
+        ips.forEach(ip -> wire.send(ip, ask));
+        clock.after(STEP_ASK_US, () -> {
+            synchronized (this) {
+                endRound(rid, gather);
+            }
+        });
+    }
+
+    private void endRound(long rid, StepsGather gather) {
+        if (!stepGathers.remove(rid, gather)) {
+            return;
+        }
+        if (gather.goesOn()) {
+            nextRound(++lastGather, gather);
+        } else {
+            gather.finish();
+        }
+    }
+
+    private synchronized void onSteps(String from, Frame frame) {
+        var rid = frame.number("rid");
+        Optional.ofNullable(stepGathers.get(rid)).ifPresent(gather -> {
+            gather.take(from, frame);
+            if (gather.heardAll()) {
+                endRound(rid, gather);
+            }
+        });
+    }
+
+    public void decideStep(String step, boolean drop, Consumer<Reply> answer) {
+        var elsewhere = elsewhere((drop ? "/Steps.Drop/" : "/Steps.Release/") + step);
+        if (elsewhere.isPresent()) {
+            answer.accept(elsewhere.get());
+            return;
+        }
+        synchronized (this) {
+            var line = step.matches("[0-9]{1,2}-.+") ? lines.get(Integer.parseInt(step.substring(0, step.indexOf('-')))) : null;
+            var ip = line == null ? "" : Optional.ofNullable(holders.get(line.primary())).map(holder -> holder.member.ip()).orElse("");
+            if (ip.isEmpty()) {
+                answer.accept(line == null ? Reply.of(Codes.NO_MESSAGE, "no step " + step + "; give the Message-Name") : Reply.of(Codes.NO_LEADER, "its keeper is away; send it again"));
+                return;
+            }
+            var rid = ++lastGather;
+            stepOrders.put(rid, answer);
+            wire.send(ip, Frame.of("steps.order").with("rid", rid).with("step", step).with("drop", drop));
+            clock.after(2 * STEP_ASK_US, () -> {
+                synchronized (this) {
+                    Optional.ofNullable(stepOrders.remove(rid)).ifPresent(waits -> waits.accept(Reply.of(Codes.NO_LEADER, "unclear; send it again")));
+                }
+            });
+        }
+    }
+
+    private synchronized void onStepsDone(Frame frame) {
+        Optional.ofNullable(stepOrders.remove(frame.number("rid"))).ifPresent(answer -> answer.accept(switch (frame.text("r")) {
+            case "done" -> Reply.of(Codes.FINE);
+            case "free" -> Reply.of(Codes.NOT_HELD, "it is not held back by a step");
+            case "none" -> Reply.of(Codes.NO_MESSAGE, "no such step waits");
+            default -> Reply.of(Codes.NO_LEADER, "its line moves; send it again");
+        }));
+    }
+
     public void history(long fromUs, long toUs, Consumer<Reply> answer) {
         var elsewhere = elsewhere("/History.Read?from=" + fromUs + "&to=" + toUs);
         if (elsewhere.isPresent()) {
--- a/src/main/java/wellwheel/tender/Tender.java
+++ b/src/main/java/wellwheel/tender/Tender.java
@@ -191,6 +191,31 @@
         }
     }
 
+    @Command(name = "steps", description = "A step, its attempts, and the later steps that rely on it; or the failed ones that hold others.")
+    void steps(@Parameters(paramLabel = "ID", arity = "0..1") String step, @Option(names = "--failed", description = "steps whose attempt failed while others rely on them") boolean failed,
+               @Option(names = "--release", description = "let a held step run although the one before it failed") boolean release, @Option(names = "--drop", description = "end a held step as failed") boolean drop) {
+        if (failed == (step != null) || release && drop || failed && (release || drop)) {
+            throw new Failure(USAGE, "steps ID, steps ID --release, steps ID --drop, or steps --failed");
+        }
+        if (failed) {
+            table(read("/Steps.Failed"), "Warnings");
+        } else if (release || drop) {
+            call("POST", "/Steps." + (drop ? "Drop" : "Release") + "/" + part(step), List.of(), new byte[0]);
+            out().println(drop ? "dropped" : "released");
+        } else {
+            oneStep(read("/Steps.Read/" + part(step)));
+        }
+    }
+
+    private void oneStep(JsonObject found) {
+        if (json) {
+            show(found);
+            return;
+        }
+        found.entrySet().stream().filter(entry -> !entry.getKey().equals("LaterSteps")).forEach(entry -> out().println(entry.getKey() + ": " + plain(entry.getValue())));
+        table(found, "LaterSteps");
+    }
+
     @Command(name = "history", description = "What the queues went through, by interval, team and service.")
     void history(@Mixin HistoryCalls.Choice choice, @Option(names = "--late", description = "only intervals in which more than a twentieth started late") boolean late) {
         new HistoryCalls(this, choice).history(late);
--- a/src/test/java/wellwheel/tender/ProcessesTest.java
+++ b/src/test/java/wellwheel/tender/ProcessesTest.java
@@ -167,6 +167,8 @@
         assertThat(tender(Tender.FINE, "config", "diff", config(2).toString())).contains("~ /Revision 1 -> 2");
         handIn("/pulled/1", "first-1");
         assertThat(state("first-1")).contains("waiting");
+        Failsafe.with(SOON).run(() -> assertThat(ask("POST", "/pulled/2", "body of next-1", "Host", "wheel.example", "Authorization", "Bearer try-me", "Attempt-Id", "next-1", "Runs-After", "first-1").statusCode()).isEqualTo(202));
+        assertThat(tender(Tender.FINE, "steps", "first-1")).contains("Runs-After");
         var job = Failsafe.with(SOON).get(() -> {
             var found = ask("POST", "/pull/pulled", "", "Server-Id", "me", "Wait-Ms", "1000");
             assertThat(found.statusCode()).isEqualTo(200);
@@ -175,6 +177,17 @@
         assertThat(job.body()).isEqualTo("body of first-1");
         assertThat(ask("POST", "/job-end/first-1", "", "Lease", job.headers().firstValue("Lease").orElseThrow(), "Job-Result", "200", "Server-Seal", "done-by-me").statusCode()).isEqualTo(200);
         assertThat(state("first-1")).contains("done-by-me");
+        var next = Failsafe.with(SOON).get(() -> {
+            var found = ask("POST", "/pull/pulled", "", "Server-Id", "me", "Wait-Ms", "1000");
+            assertThat(found.statusCode()).isEqualTo(200);
+            return found;
+        });
+        assertThat(next.body()).isEqualTo("body of next-1");
+        assertThat(tender(Tender.FINE, "steps", "next-1")).contains("runs at me");
+        assertThat(tender(Tender.FINE, "steps", "--failed")).contains("none");
+        tender(Tender.UNKNOWN, "steps", "0-nobody", "--release");
+        tender(Tender.UNKNOWN, "steps", "nobody");
+        tender(Tender.USAGE, "steps");
         assertThat(tender(Tender.FINE, "nodes")).contains("keeper-2");
         assertThat(tender(Tender.FINE, "lines", "--json")).contains("\"Missing\": 0");
         assertThat(tender(Tender.FINE, "warnings")).contains("none");
--- a/src/test/java/wellwheel/tide/Ledger.java
+++ b/src/test/java/wellwheel/tide/Ledger.java
@@ -33,6 +33,8 @@
         boolean refusedForGood;
         boolean answerLost;
         boolean endTried;
+        long doneUs = Long.MAX_VALUE;
+        List<Entry> after = List.of();
         boolean promisedNotToRun;
         final Set<String> seals = new HashSet<>();
         final Set<String> endedLeases = new HashSet<>();
@@ -108,6 +110,7 @@
             faults.add("REFUSED " + entry.id);
         }
         entry.firstStartUs = Math.min(entry.firstStartUs, nowUs);
+        entry.after.stream().filter(other -> other.doneUs > nowUs).forEach(other -> faults.add("STEP " + entry.id + " starts before the end of " + other.id));
         if (entry.orderKey.isEmpty()) {
             return;
         }
@@ -170,6 +173,7 @@
         entry.successes++;
         entry.seals.add(seal);
         entry.endedUs = Math.min(entry.endedUs, nowUs);
+        entry.doneUs = Math.min(entry.doneUs, nowUs);
     }
 
     long most(long windowUs) {
--- a/src/test/java/wellwheel/tide/Play.java
+++ b/src/test/java/wellwheel/tide/Play.java
@@ -82,6 +82,10 @@
     }
 
     void handIn(World.Host gallery, String service, String orderKey, String tenant, String tenantKey, long delayMs) {
+        handIn(gallery, service, orderKey, tenant, tenantKey, delayMs, List.of(), entry -> { });
+    }
+
+    Ledger.Entry handIn(World.Host gallery, String service, String orderKey, String tenant, String tenantKey, long delayMs, List<Ledger.Entry> after, Consumer<Ledger.Entry> kept) {
         var entry = new Ledger.Entry("m" + ledger.entries.size(), service, orderKey, world.nowUs());
         entry.body = Arrays.copyOf(entry.body, Math.max(entry.body.length, padBytes));
         ledger.entries.put(entry.id, entry);
@@ -94,7 +98,17 @@
         if (!orderKey.isEmpty()) {
             headers.put("Order-Key", orderKey);
         }
-        world.ask(gallery, "POST", "/" + service + "/x", headers, entry.body, answer -> answered(entry, answer));
+        if (!after.isEmpty()) {
+            entry.after = after;
+            headers.put("Runs-After", String.join(", ", after.stream().map(each -> world.luck().nextBoolean() ? each.name : each.id).toList()));
+        }
+        world.ask(gallery, "POST", "/" + service + "/x", headers, entry.body, answer -> {
+            answered(entry, answer);
+            if (entry.acceptedUs < Long.MAX_VALUE) {
+                kept.accept(entry);
+            }
+        });
+        return entry;
     }
 
     void answered(Ledger.Entry entry, Optional<Exchange.Answer> answer) {
@@ -110,6 +124,7 @@
         }
     }
 
+    String pulledOut = "";
     boolean newWorkers;
     private int workerTurn;
     long slowWorkerTimes = 1;
@@ -121,6 +136,10 @@
         }
         var number = workerTurn++ % 24;
         var name = number < 9 ? "w0" : "w" + number / 3;
+        if (name.equals(pulledOut)) {
+            world.after(1_000, this::worker);
+            return;
+        }
         var version = newWorkers && number % 4 == 0 ? "v2" : "v1";
         world.ask(anyGallery(), "POST", "/pull/quote", Map.of("Host", "any", "Server-Id", name, "Server-Revision", version, "Wait-Ms", "1000"), new byte[0], answer -> {
             if (answer.isPresent() && answer.get().code() == Codes.FINE) {
@@ -146,10 +165,17 @@
         ledger.starts(entry, world.nowUs());
         var fails = world.luck().nextInt(30) == 0 || version.equals("v2") && ledger.newHow.equals("fails");
         entry.endTried |= !fails;
-        world.after((50_000 + world.luck().nextInt(400_000)) * (name.equals("w5") ? slowWorkerTimes : allSlowTimes), () -> end(entry, headers.get("Lease"), fails ? "500" : "200", "seal-" + headers.get("Lease"), 40));
+        world.after((50_000 + world.luck().nextInt(400_000)) * (name.equals("w5") ? slowWorkerTimes : allSlowTimes), () -> {
+            if (name.equals(pulledOut)) {
+                worker();
+            } else {
+                end(entry, headers.get("Lease"), fails ? "500" : "200", "seal-" + headers.get("Lease"), 40);
+            }
+        });
     }
 
     void end(Ledger.Entry entry, String lease, String result, String seal, int tries) {
+        entry.doneUs = result.equals("200") ? Math.min(entry.doneUs, world.nowUs()) : entry.doneUs;
         world.ask(anyGallery(), "POST", "/job-end/" + entry.id, Map.of("Host", "any", "Lease", lease, "Job-Result", result, "Server-Seal", seal), new byte[0], answer -> {
             var status = answer.map(each -> each.code().status()).orElse(0);
             if (status == 200) {
