--- a/src/main/java/wellwheel/forecast/Forecast.java
+++ b/src/main/java/wellwheel/forecast/Forecast.java
@@ -1,10 +1,12 @@
 package wellwheel.forecast;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 import org.apache.commons.statistics.descriptive.Median;
 import org.apache.commons.statistics.descriptive.Quantile;
 
@@ -44,28 +46,16 @@
     }
 
     private double base(double[] values, int target, int knownUntil) {
-        var seen = new ArrayList<Double>();
-        var back = length * Math.max(1, (target - knownUntil + length - 1) / length);
-        for (var at = target - back; at >= 0 && seen.size() < SEASONS_LOOKED_AT; at -= length) {
-            if (at < values.length && !Double.isNaN(values[at])) {
-                seen.add(values[at]);
-            }
-        }
-        if (seen.isEmpty()) {
-            return dayAverage(values, target, knownUntil);
+        var seasons = before(values, target, knownUntil, length);
+        if (seasons.length > 0) {
+            return Median.withDefaults().evaluate(seasons);
         }
-        return Median.withDefaults().evaluate(seen.stream().mapToDouble(Double::doubleValue).toArray());
+        return Arrays.stream(before(values, target, knownUntil, perDay)).average().orElse(0);
     }
 
-    private double dayAverage(double[] values, int target, int knownUntil) {
-        var seen = new ArrayList<Double>();
-        var back = perDay * Math.max(1, (target - knownUntil + perDay - 1) / perDay);
-        for (var at = target - back; at >= 0 && seen.size() < SEASONS_LOOKED_AT; at -= perDay) {
-            if (at < values.length && !Double.isNaN(values[at])) {
-                seen.add(values[at]);
-            }
-        }
-        return seen.isEmpty() ? 0 : seen.stream().mapToDouble(Double::doubleValue).average().orElse(0);
+    private static double[] before(double[] values, int target, int knownUntil, int period) {
+        var back = period * Math.max(1, (target - knownUntil + period - 1) / period);
+        return IntStream.iterate(target - back, at -> at >= 0, at -> at - period).filter(at -> at < values.length && !Double.isNaN(values[at])).limit(SEASONS_LOOKED_AT).mapToDouble(at -> values[at]).toArray();
     }
 
     private double level(double[] values, int knownUntil) {
