--- a/src/main/java/wellwheel/keeper/KeeperNode.java
+++ b/src/main/java/wellwheel/keeper/KeeperNode.java
@@ -1054,6 +1054,8 @@
                     rows.add(stepRow(line, message, "", ""));
                 } else if (message.waiting() && !message.heldBy.isEmpty()) {
                     rows.add(stepRow(line, message, message.heldBy, "named"));
+                } else if (message.waiting()) {
+                    message.after.forEach(step -> rows.add(stepRow(line, message, step, "waits")));
                 }
             }
         }
--- a/src/main/java/wellwheel/pilot/StepsGather.java
+++ b/src/main/java/wellwheel/pilot/StepsGather.java
@@ -93,7 +93,7 @@
 
     JsonArray failed() {
         var counts = new LinkedHashMap<String, JsonObject>();
-        rows.values().forEach(row -> {
+        rows.values().stream().filter(row -> !row.text("how").equals("waits")).forEach(row -> {
             var held = !row.text("of").isEmpty();
             var step = held ? row.text("of") : row.text("k");
             var one = counts.computeIfAbsent(step, key -> {
@@ -107,14 +107,19 @@
                 fresh.addProperty("NearestAimUs", Long.MAX_VALUE);
                 return fresh;
             });
-            one.addProperty("Later", one.get("Later").getAsLong() + (held ? 1 : row.number("f")));
-            one.addProperty("NearestAimUs", Math.min(one.get("NearestAimUs").getAsLong(), row.number("aim")));
+            count(one, row, held ? 1 : row.number("f"));
         });
+        rows.values().stream().filter(row -> row.text("how").equals("waits") && counts.containsKey(row.text("of"))).forEach(row -> count(counts.get(row.text("of")), row, 1));
         var list = new JsonArray();
         counts.values().forEach(list::add);
         return list;
     }
 
+    private static void count(JsonObject one, Frame row, long more) {
+        one.addProperty("Later", one.get("Later").getAsLong() + more);
+        one.addProperty("NearestAimUs", Math.min(one.get("NearestAimUs").getAsLong(), row.number("aim")));
+    }
+
     private static JsonObject json(Frame row) {
         var one = new JsonObject();
         one.addProperty("Step", row.text("k"));
--- a/src/test/java/wellwheel/tide/StepsTest.java
+++ b/src/test/java/wellwheel/tide/StepsTest.java
@@ -135,6 +135,7 @@
         var warning = json(told(play, answer -> pilot(play).warnings(false, answer))).getAsJsonArray("Warnings").toString();
         assertThat(warning).contains("step-holds-others");
         assertThat(warning).contains(step.name);
+        assertThat(warning).contains("\"Later\":2");
         assertThat(json(told(play, answer -> pilot(play).steps(step.id, answer))).getAsJsonArray("LaterSteps").toString()).contains("held until an operator decides");
         var held = later.get(0);
         var dropped = later.get(1);
