While a restarted primary compares, ends and outcomes wait; a copy that may shed a body gets it whole

Found by reading: a worker's end or a forwarded outcome that came while a restarted primary did not yet know what its copies hold was judged by what it remembered; now it is answered later. A copy that told a finished message may shed its body before it is told that the message waits, so the whole record goes to it (KeeperNodeTest).

--- a/src/main/java/wellwheel/keeper/KeeperNode.java
+++ b/src/main/java/wellwheel/keeper/KeeperNode.java
@@ -750,7 +750,7 @@
         var extra = new ArrayList<Object>();
         for (var each : frame.frames("have")) {
             have.put(each.text("id"), each.text("v"));
-            if (each.flag("nb")) {
+            if (each.flag("nb") || each.small("state") == Message.State.FINISHED.ordinal()) {
                 join.bodiless.add(each.text("id"));
             }
             var known = line.messages.get(each.text("id"));
@@ -1577,6 +1577,9 @@
             return;
         }
         var message = line.messages.get(frame.text("id"));
+        if (message != null && message.doubted) {
+            return;
+        }
         if (message == null || !message.waiting() || !message.lease.equals(frame.text("lease")) || message.endedLease.equals(message.lease)) {
             if (message == null || !message.settling) {
                 wire.send(from, Frame.of("outcome.ok").with("line", line.number).with("id", frame.text("id")));
@@ -1680,7 +1683,7 @@
         var line = line(frame.small("line"));
         var answer = Frame.of("end.ok").with("rid", frame.number("rid"));
         var message = line.messages.get(frame.text("id"));
-        if (!line.open) {
+        if (!line.open || message != null && message.doubted && !message.endedLease.equals(frame.text("lease"))) {
             wire.send(from, answer.with("r", 503));
             return;
         }
@@ -1752,7 +1755,7 @@
         var line = line(frame.small("line"));
         var answer = Frame.of("end.ok").with("rid", frame.number("rid"));
         var message = line.messages.get(frame.text("id"));
-        if (!line.open) {
+        if (!line.open || message != null && message.doubted) {
             wire.send(from, answer.with("r", 503));
             return;
         }
@@ -1797,7 +1800,7 @@
         var oldUs = claim.coreUs() - options.statusUs() - 10_000_000;
         var nowUs = claim.coreUs();
         for (var line : lines.values()) {
-            line.messages.values().stream().filter(message -> message.state == Message.State.FINISHED && !message.settling && !message.untold && message.body.length > 0 && (line.open || message.seq <= line.low)).forEach(this::shed);
+            line.messages.values().stream().filter(message -> message.state == Message.State.FINISHED && !message.settling && !message.doubted && !message.untold && message.body.length > 0 && (line.open || message.seq <= line.low)).forEach(this::shed);
             line.messages.values().removeIf(message -> {
                 var old = !message.waiting() && message.endedUs < oldUs && !message.settling;
                 if (old) {
--- a/src/test/java/wellwheel/keeper/KeeperNodeTest.java
+++ b/src/test/java/wellwheel/keeper/KeeperNodeTest.java
@@ -112,7 +112,7 @@
     private void rejoin(String version, int state, boolean bodiless) {
         news(line(2, List.of(node.id()), "other#1", 1, 2));
         assertThat(other("join.ask")).hasSize(1);
-        var row = new Frame().with("id", "m1").with("v", version).with("state", state).with("nb", bodiless);
+        var row = new Frame().with("id", "m1").with("v", version).with("state", state).with("w", true).with("nb", bodiless);
         node.onFrame(OTHER, Frame.unpack(Frame.of("join.have").with("line", 0).with("epoch", 2).with("have", List.of(row)).with("from", "other#1").pack()));
     }
 
@@ -132,6 +132,13 @@
         assertThat(new String(record.bytes("b"), StandardCharsets.UTF_8)).isEqualTo("the body");
     }
 
+    @Test
+    void aCopyThatMayShedTheBodyBeforeItIsToldOtherwiseGetsItWhole() {
+        rejoin("1.0.1." + ((1L << 20) + 1) + ".untold", 1, false);
+        assertThat(other("rep")).hasSize(1);
+        assertThat(other("rep").get(0).inner("c").kind()).isEqualTo("m");
+    }
+
     @Test
     void whatANewEpochSaysWinsOverAHigherRevisionOfAnOldOne() {
         news(line(2, List.of("other#1", node.id()), "", 2, 2));
