Keepers of the former version beside newer ones: records without an epoch count as of the epoch that sends them

A roll-out replaces keepers one after the other. A newer copy would have ignored what an older primary changed, as its records carry no epoch, and an older copy what a newer primary hands over with a lower revision (found by reading).

--- a/src/main/java/wellwheel/keeper/KeeperNode.java
+++ b/src/main/java/wellwheel/keeper/KeeperNode.java
@@ -440,6 +440,7 @@
         for (var message : ordered) {
             message.kept = !unsure.contains(message) && !line.comparing;
             message.settling = unsure.contains(message);
+            message.rev = message.settling ? Math.max(message.rev, line.epoch << 20) : message.rev;
             message.doubted = line.comparing;
             if (message.waiting()) {
                 enlist(line, message);
@@ -684,6 +685,9 @@
             return;
         }
         var record = frame.inner("c");
+        if (!record.has("ep")) {
+            record.with("ep", epoch);
+        }
         line.seq = Math.max(line.seq, seq);
         line.low = Math.max(line.low, seq - frame.number("w"));
         upsert(line, record).ifPresent(message -> message.seq = Math.max(message.seq, seq));
@@ -765,7 +769,10 @@
         for (var message : line.messages.values()) {
             var theirs = have.get(message.id);
             if (theirs == null || !theirs.equals(message.version()) || message.waiting() && !message.lease.isEmpty()) {
-                message.epoch = theirs == null || theirs.equals(message.version()) ? message.epoch : line.place.epoch();
+                if (theirs != null && !theirs.equals(message.version())) {
+                    message.epoch = line.place.epoch();
+                    message.rev = Math.max(message.rev, line.epoch << 20);
+                }
                 join.missing.add(message);
             }
             if (theirs == null) {
--- a/src/test/java/wellwheel/keeper/KeeperNodeTest.java
+++ b/src/test/java/wellwheel/keeper/KeeperNodeTest.java
@@ -153,6 +153,23 @@
         assertThat(have.text("v")).isEqualTo("0.1.3." + ((1L << 20) + 1));
     }
 
+    @Test
+    void recordsOfTheFormerVersionCountAsOfTheEpochThatSendsThem() {
+        news(line(2, List.of("other#1", node.id()), "", 2, 2));
+        var former = new Frame().with("k", "u").with("l", 0).with("i", "m1").with("v", 2L << 20).with("f", 1);
+        node.onFrame(OTHER, Frame.unpack(Frame.of("rep").with("l", 0).with("e", 2L).with("s", (2L << 32) + 1).with("c", former).pack()));
+        sentToOther.clear();
+        node.onFrame(OTHER, Frame.of("join.ask").with("line", 0).with("epoch", 3L));
+        assertThat(other("join.have").get(0).frames("have").get(0).text("v")).isEqualTo("0.1.2." + (2L << 20));
+    }
+
+    @Test
+    void whatACopyHoldsBeyondUsIsOvertakenForTheFormerVersionToo() {
+        rejoin("0.3.1." + ((1L << 20) + 40), 0, false);
+        assertThat(other("rep").get(0).inner("c").number("v")).isEqualTo(2L << 20);
+        assertThat(other("rep").get(0).inner("c").number("ep")).isEqualTo(2L);
+    }
+
     @Test
     void anUnansweredRecordOnASoundLinkIsNotSentAgainAtOnceButOnABrokenOneIs() {
         handIn("m2");
