--- /dev/null
+++ b/src/main/java/wellwheel/gallery/Departure.java
@@ -0,0 +1,19 @@
+package wellwheel.gallery;
+
+final class Departure {
+    enum Step { STAY, FLUSH, END }
+
+    private boolean flushed;
+
+    Step step(boolean idle) {
+        if (!idle) {
+            flushed = false;
+            return Step.STAY;
+        }
+        if (!flushed) {
+            flushed = true;
+            return Step.FLUSH;
+        }
+        return Step.END;
+    }
+}
--- a/src/main/java/wellwheel/gallery/Gallery.java
+++ b/src/main/java/wellwheel/gallery/Gallery.java
@@ -15,6 +15,7 @@
     private final Station station;
     private final GalleryNode node;
     private final Door front;
+    private final Departure departure = new Departure();
     private boolean leaving;
     private long leftUs;
 
@@ -53,15 +54,21 @@
     private void close() {
         front.drain();
         node.close();
-        station.clock().every(100_000, this::mayEnd);
+        station.clock().every(50_000, this::mayEnd);
     }
 
     private void mayEnd() {
         front.closeIdle();
         var late = station.clock().steadyUs() - leftUs > station.options().graceUs() - END_MARGIN_US;
-        if (late || node.idle() && front.connections() == 0) {
+        if (late) {
             node.flush();
             station.clock().after(50_000, station::end);
+            return;
+        }
+        switch (departure.step(node.idle() && front.connections() == 0)) {
+            case FLUSH -> node.flush();
+            case END -> station.end();
+            default -> { }
         }
     }
 }
