Raft: contact by send time, read index, disk identity, chunked feeds, leavers replaced

Cause: contact with a majority was counted when an old answer was read, so a thawed leader or one behind a cut that held bytes up served reads and refusals it could not prove. Ruled out: a lease alone for reads (a restarted follower may vote inside it).

--- a/src/main/java/wellwheel/pilot/Pilot.java
+++ b/src/main/java/wellwheel/pilot/Pilot.java
@@ -23,6 +23,7 @@
     private static final System.Logger LOG = System.getLogger("pilot");
     private static final long TICK_US = 50_000;
     private static final long POLL_US = 900_000;
+    private static final long LEAVE_MOST_US = 2_000_000;
     private static final int BAD_STATE_STATUS = 79;
     private static final int PAGES_MOST = 200;
     private static final Charter.Caps CAPS = new Charter.Caps(16384, 8 << 20, 5_000_000, 30_000_000);
@@ -75,7 +76,7 @@
         leaving = true;
         leftUs = station.clock().steadyUs();
         station.clock().every(20_000, () -> {
-            if (node.raft().leave() || station.clock().steadyUs() - leftUs > 1_000_000) {
+            if (node.raft().leave() || station.clock().steadyUs() - leftUs > LEAVE_MOST_US) {
                 station.clock().after(150_000, station::end);
             }
         });
@@ -87,7 +88,7 @@
         var node = segments.length == 3 ? segments[2] : "";
         switch (call) {
             case "POST Config.Replace" -> this.node.replace(exchange.body(), base(exchange), reply -> answer(exchange, reply));
-            case "GET Config.Read" -> answer(exchange, this.node.read());
+            case "GET Config.Read" -> this.node.read(reply -> answer(exchange, reply));
             case "POST Retire.Start" -> {
                 if (soundOrder(exchange)) {
                     this.node.retire(node, reply -> answer(exchange, reply));
@@ -95,7 +96,7 @@
                     exchange.answer(Exchange.Answer.of(Codes.BAD_REQUEST));
                 }
             }
-            case "GET Retire.Read" -> answer(exchange, this.node.retireState(node));
+            case "GET Retire.Read" -> this.node.retireState(node, reply -> answer(exchange, reply));
             case "GET Nodes.Read" -> answer(exchange, this.node.nodes());
             case "GET Lines.Read" -> answer(exchange, this.node.linesNow());
             case "GET History.Read" -> history(exchange);
--- a/src/main/java/wellwheel/pilot/PilotNode.java
+++ b/src/main/java/wellwheel/pilot/PilotNode.java
@@ -3,9 +3,6 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -30,7 +27,6 @@
     private static final System.Logger LOG = System.getLogger("pilot");
     private static final long KEEPER_CLAIM_US = 1_200_000;
     private static final long DOWN_CLAIM_US = 500_000;
-    private static final int TAKEN_KEPT = 64;
     private static final int HOLDERS_MOST = 4096;
     private static final int BALANCED_AT_ONCE = 8;
     private static final long HISTORY_MOST_US = 400L * 86_400_000_000L;
@@ -79,9 +75,7 @@
     private Consumer<String> broken = why -> {
         throw new IllegalStateException(why);
     };
-    private byte[] config = {};
-    private Charter charter = Charter.NONE;
-    private final ArrayDeque<String> taken = new ArrayDeque<>();
+    private final Orders orders = new Orders();
     private final TreeMap<Integer, Layout.Line> lines = new TreeMap<>();
     private long linesVersion;
     private final Set<String> retiring = new LinkedHashSet<>();
@@ -154,23 +148,7 @@
     }
 
     private void applyConfig(Frame frame) {
-        if (frame.number("base") != charter.revision()) {
-            return;
-        }
-        try {
-            var next = Charter.read(frame.bytes("bytes"));
-            if (next.revision() <= charter.revision()) {
-                return;
-            }
-            charter = next;
-            config = frame.bytes("bytes");
-            taken.addLast(digest(config));
-            if (taken.size() > TAKEN_KEPT) {
-                taken.removeFirst();
-            }
-        } catch (Charter.Invalid e) {
-            LOG.log(System.Logger.Level.ERROR, "refused at apply: " + e.getMessage());
-        }
+        orders.apply(frame.number("base"), frame.bytes("bytes"));
         pushNews();
     }
 
@@ -196,22 +174,16 @@
 
     @Override
     public synchronized byte[] snapshot() {
-        return Frame.of("state").with("config", config).with("taken", new ArrayList<Object>(taken)).with("version", linesVersion)
-            .with("retiring", new ArrayList<Object>(retiring)).with("lines", lines.values().stream().map(Layout.Line::frame).toList())
-            .with("shiftsVersion", shiftsVersion).with("shifts", shifts.all().stream().map(Shift::frame).toList()).pack();
+        var state = Frame.of("state").with("version", linesVersion).with("retiring", new ArrayList<Object>(retiring)).with("lines", lines.values().stream().map(Layout.Line::frame).toList())
+            .with("shiftsVersion", shiftsVersion).with("shifts", shifts.all().stream().map(Shift::frame).toList());
+        orders.save(state);
+        return state.pack();
     }
 
     @Override
     public synchronized void restore(byte[] state) {
         var frame = Frame.unpack(state);
-        config = frame.bytes("config");
-        try {
-            charter = config.length == 0 ? Charter.NONE : Charter.read(config);
-        } catch (Charter.Invalid e) {
-            throw new IllegalStateException(e);
-        }
-        taken.clear();
-        taken.addAll(frame.texts("taken"));
+        orders.restore(frame);
         retiring.clear();
         retiring.addAll(frame.texts("retiring"));
         linesVersion = frame.number("version");
@@ -242,19 +214,6 @@
         roster = List.of();
     }
 
-    private static String digest(byte[] bytes) {
-        try {
-            var sum = MessageDigest.getInstance("SHA-256").digest(bytes);
-            var text = new StringBuilder();
-            for (var i = 0; i < 16; i++) {
-                text.append(String.format("%02x", sum[i]));
-            }
-            return text.toString();
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     @Override
     public void onFrame(String from, Frame frame) {
         if (frame.kind().startsWith("raft.")) {
@@ -277,6 +236,14 @@
     @Override
     public synchronized void onDown(String ip) {
         holders.values().stream().filter(holder -> holder.member.ip().equals(ip)).forEach(holder -> holder.downUs = Math.min(holder.downUs, clock.steadyUs()));
+        raft.onDown(ip);
+    }
+
+    @Override
+    public void onUnsent(String ip, Frame frame) {
+        if (frame.kind().startsWith("raft.")) {
+            raft.onDown(ip);
+        }
     }
 
     private void onClaim(String from, Frame frame) {
@@ -329,8 +296,8 @@
     }
 
     private void fill(Frame answer, long revision, long layout, long members, long rosterSeen, long shiftsSeen) {
-        if (charter.revision() > revision) {
-            answer.with("rev", charter.revision()).with("config", config);
+        if (charter().revision() > revision) {
+            answer.with("rev", charter().revision()).with("config", orders.config());
         }
         if (linesVersion > layout) {
             answer.with("lines", lines.values().stream().filter(line -> line.version() > layout).map(Layout.Line::frame).toList());
@@ -354,7 +321,7 @@
 
     private void pushNews() {
         if (!raft.leads()) {
-            pushedRevision = charter.revision();
+            pushedRevision = charter().revision();
             pushedLines = linesVersion;
             pushedShifts = shiftsVersion;
             return;
@@ -362,7 +329,7 @@
         var news = Frame.of("news");
         fill(news, pushedRevision, pushedLines, pushedMembers, pushedRoster, pushedShifts);
         pushedShifts = shiftsVersion;
-        pushedRevision = charter.revision();
+        pushedRevision = charter().revision();
         pushedLines = linesVersion;
         pushedMembers = memberVersion;
         pushedRoster = rosterVersion;
@@ -431,20 +398,17 @@
     }
 
     public void shift(String call, String service, Optional<Long> base, byte[] body, Consumer<Reply> answer) {
-        var elsewhere = elsewhere("/Shift." + call + "/" + service);
-        if (elsewhere.isPresent()) {
-            answer.accept(elsewhere.get());
-            return;
-        }
-        synchronized (this) {
-            var now = shifts.of(service);
-            if (charter.service(service).isEmpty() || now.isEmpty() && !call.equals("Set")) {
-                answer.accept(Reply.of(Codes.NO_SERVICE, charter.service(service).isEmpty() ? "no service " + service : "no policy for " + service));
-            } else if (base.isPresent() && !base.get().equals(now.map(Shift::epoch).orElse(0L))) {
-                answer.accept(Reply.of(Codes.OTHER_BASE, "the shift is at epoch " + now.map(Shift::epoch).orElse(0L)));
-            } else {
-                order(call, service, now, body, answer);
-            }
+        proven("/Shift." + call + "/" + service, answer, () -> shiftNow(call, service, base, body, answer));
+    }
+
+    private synchronized void shiftNow(String call, String service, Optional<Long> base, byte[] body, Consumer<Reply> answer) {
+        var now = shifts.of(service);
+        if (charter().service(service).isEmpty() || now.isEmpty() && !call.equals("Set")) {
+            answer.accept(Reply.of(Codes.NO_SERVICE, charter().service(service).isEmpty() ? "no service " + service : "no policy for " + service));
+        } else if (base.isPresent() && !base.get().equals(now.map(Shift::epoch).orElse(0L))) {
+            answer.accept(Reply.of(Codes.OTHER_BASE, "the shift is at epoch " + now.map(Shift::epoch).orElse(0L)));
+        } else {
+            order(call, service, now, body, answer);
         }
     }
 
@@ -627,7 +591,7 @@
         }
         if (tries == 0 || gather.whole()) {
             gathers.remove(rid);
-            gather.tell(service -> charter.service(service).map(Charter.Service::pull).orElse(false), coreUs());
+            gather.tell(service -> charter().service(service).map(Charter.Service::pull).orElse(false), coreUs());
             return;
         }
         gather.missing().forEach(member -> wire.send(member.ip(), Frame.of("history.ask").with("rid", rid).with("from", gather.fromUs()).with("to", gather.toUs())));
@@ -668,13 +632,18 @@
         return elsewhere("/Nodes.Read").orElseGet(() -> {
             synchronized (this) {
                 var list = new JsonArray();
-                raft.voters().forEach(ip -> list.add(node(ip, "pilot", "", ip.equals(options.ip()) ? "leads term " + raft.term() : "votes")));
+                list.add(node(options.ip(), "pilot", options.zone(), "leads term " + raft.term() + ", majority for " + raft.majorityForUs() / 1000 + " ms, " + raft.voters().size() + " vote"));
+                raft.standings().forEach(each -> list.add(node(each.ip(), "pilot", "", standing(each))));
                 holders.values().forEach(holder -> list.add(node(holder.member.id(), holder.member.role(), holder.member.zone(), holder.leaving ? "leaving" : retiring.contains(nodeOf(holder.member.id())) ? "retiring" : "well")));
                 return jsonReply("Nodes", list);
             }
         });
     }
 
+    private static String standing(Raft.Standing pilot) {
+        return (pilot.votes() ? "votes" : "learns") + ", " + pilot.behind() + " entries behind, heard " + pilot.silentUs() / 1000 + " ms ago" + (pilot.blank() ? ", empty disk" : "") + (pilot.leaving() ? ", leaving" : "");
+    }
+
     private static JsonObject node(String name, String role, String zone, String standing) {
         var row = new JsonObject();
         row.addProperty("Node", name);
@@ -1041,52 +1010,62 @@
     }
 
     public void replace(byte[] bytes, Optional<Long> base, Consumer<Reply> answer) {
-        var refusal = refusal(bytes, base);
-        if (refusal.isPresent()) {
-            answer.accept(refusal.get());
+        var elsewhere = elsewhere("/Config.Replace").or(this::gathering);
+        if (elsewhere.isPresent()) {
+            answer.accept(elsewhere.get());
             return;
         }
+        var verdict = judge(bytes, base);
+        if (verdict.proper()) {
+            propose(bytes, base.orElse(0L), answer);
+        } else if (verdict.provable()) {
+            raft.confirm(sure -> answer.accept(sure ? refusal(bytes, base) : unclear()));
+        } else {
+            answer.accept(verdict.reply());
+        }
+    }
+
+    private synchronized Orders.Verdict judge(byte[] bytes, Optional<Long> base) {
+        return orders.judge(bytes, base);
+    }
+
+    private Reply refusal(byte[] bytes, Optional<Long> base) {
+        var verdict = judge(bytes, base);
+        return verdict.proper() ? unclear() : verdict.reply();
+    }
+
+    private static Reply unclear() {
+        return Reply.of(Codes.NO_LEADER, "unclear; send it again");
+    }
+
+    private void propose(byte[] bytes, long base, Consumer<Reply> answer) {
         if (!raft.enough()) {
             LOG.log(System.Logger.Level.ERROR, "code=" + Codes.FEW_VOTERS.number() + " a configuration is taken with " + raft.voters().size() + " voters");
         }
-        raft.propose(Frame.of("config").with("base", base.orElse(0L)).with("bytes", bytes).pack(), done -> answer.accept(outcome(bytes, done)));
+        raft.propose(Frame.of("config").with("base", base).with("bytes", bytes).pack(), done -> answer.accept(done ? outcome(bytes, base) : unclear()));
     }
 
-    private synchronized Reply outcome(byte[] bytes, boolean done) {
-        if (!done) {
-            return Reply.of(Codes.NO_LEADER, "unclear; send it again");
-        }
-        return taken.contains(digest(bytes)) ? Reply.of(Codes.FINE) : Reply.of(Codes.OTHER_BASE, "another version won");
+    private synchronized Reply outcome(byte[] bytes, long base) {
+        return orders.outcome(bytes, base);
+    }
+
+    private synchronized Optional<Reply> gathering() {
+        return !raft.enough() && clock.steadyUs() - ledSinceUs < GATHER_US ? Optional.of(Reply.of(Codes.NO_LEADER, "voters are still gathering")) : Optional.empty();
     }
 
-    private Optional<Reply> refusal(byte[] bytes, Optional<Long> base) {
-        var elsewhere = elsewhere("/Config.Replace");
+    private void proven(String target, Consumer<Reply> answer, Runnable then) {
+        var elsewhere = elsewhere(target);
         if (elsewhere.isPresent()) {
-            return elsewhere;
+            answer.accept(elsewhere.get());
+            return;
         }
-        synchronized (this) {
-            if (!raft.enough() && clock.steadyUs() - ledSinceUs < GATHER_US) {
-                return Optional.of(Reply.of(Codes.NO_LEADER, "voters are still gathering"));
-            }
-            if (taken.contains(digest(bytes))) {
-                return Optional.of(Reply.of(Codes.FINE));
-            }
-            try {
-                var next = Charter.read(bytes);
-                if (base.isEmpty()) {
-                    return Optional.of(Reply.of(Codes.BAD_CONFIG, "Based-On-Version is missing or not a number"));
-                }
-                if (base.get() != charter.revision()) {
-                    return Optional.of(Reply.of(Codes.OTHER_BASE, "the current version is " + charter.revision()));
-                }
-                if (next.revision() <= charter.revision()) {
-                    return Optional.of(Reply.of(Codes.BAD_CONFIG, "/Revision: not above the current " + charter.revision()));
-                }
-                return Optional.empty();
-            } catch (Charter.Invalid e) {
-                return Optional.of(Reply.of(Codes.BAD_CONFIG, e.getMessage()));
+        raft.confirm(sure -> {
+            if (sure) {
+                then.run();
+            } else {
+                answer.accept(unclear());
             }
-        }
+        });
     }
 
     public Optional<Reply> elsewhere(String target) {
@@ -1100,54 +1079,58 @@
         return Optional.of(new Reply(Codes.ELSEWHERE, "http://" + leader + ":" + Options.portOf(options.control()) + target, new byte[0]));
     }
 
-    public Reply read() {
-        return elsewhere("/Config.Read").orElseGet(() -> {
-            synchronized (this) {
-                return new Reply(Codes.FINE, "", config.length == 0 ? "{\"Revision\":0,\"Routing\":[],\"Backends\":[]}".getBytes(StandardCharsets.UTF_8) : config);
+    public void read(Consumer<Reply> answer) {
+        proven("/Config.Read", answer, () -> answer.accept(readNow()));
+    }
+
+    private synchronized Reply readNow() {
+        return new Reply(Codes.FINE, "", orders.readable());
+    }
+
+    public void retire(String node, Consumer<Reply> answer) {
+        proven("/Retire.Start/" + node, answer, () -> {
+            var refusal = retireRefusal(node);
+            if (refusal.isPresent()) {
+                answer.accept(refusal.get());
+            } else {
+                raft.propose(Frame.of("retire").with("node", node).pack(), done -> answer.accept(done ? Reply.of(Codes.FINE) : unclear()));
             }
         });
     }
 
-    public void retire(String node, Consumer<Reply> answer) {
-        var elsewhere = elsewhere("/Retire.Start/" + node);
-        if (elsewhere.isPresent()) {
-            answer.accept(elsewhere.get());
-            return;
+    private synchronized Optional<Reply> retireRefusal(String node) {
+        if (retiring.contains(node)) {
+            return Optional.of(Reply.of(Codes.FINE));
         }
-        synchronized (this) {
-            if (retiring.contains(node)) {
-                answer.accept(Reply.of(Codes.FINE));
-                return;
-            }
-            if (holders.values().stream().noneMatch(holder -> holder.member.role().equals("keeper") && nodeOf(holder.member.id()).equals(node))) {
-                answer.accept(Reply.of(Codes.NO_NODE, "no storage node " + node));
-                return;
-            }
-            if (usableKeepers().stream().filter(id -> !nodeOf(id).equals(node)).count() < full()) {
-                answer.accept(Reply.of(Codes.TOO_FEW, "too few storage nodes would remain"));
-                return;
-            }
+        if (!settled()) {
+            return Optional.of(Reply.of(Codes.NO_LEADER, "storage nodes are still gathering"));
+        }
+        if (holders.values().stream().noneMatch(holder -> holder.member.role().equals("keeper") && nodeOf(holder.member.id()).equals(node))) {
+            return Optional.of(Reply.of(Codes.NO_NODE, "no storage node " + node));
+        }
+        if (usableKeepers().stream().filter(id -> !nodeOf(id).equals(node)).count() < full()) {
+            return Optional.of(Reply.of(Codes.TOO_FEW, "too few storage nodes would remain"));
         }
-        raft.propose(Frame.of("retire").with("node", node).pack(), done -> answer.accept(done ? Reply.of(Codes.FINE) : Reply.of(Codes.NO_LEADER, "unclear; send it again")));
+        return Optional.empty();
     }
 
-    public Reply retireState(String node) {
-        return elsewhere("/Retire.Read/" + node).orElseGet(() -> {
-            synchronized (this) {
-                if (!retiring.contains(node)) {
-                    return Reply.of(Codes.NO_NODE, "not retiring: " + node);
-                }
-                var holds = lines.values().stream().anyMatch(line -> nodeOf(line.joining()).equals(node) || line.copies().stream().anyMatch(id -> nodeOf(id).equals(node)));
-                return new Reply(Codes.FINE, "", ("{\"State\":\"" + (holds ? "running" : "finished") + "\"}").getBytes(StandardCharsets.UTF_8));
-            }
-        });
+    public void retireState(String node, Consumer<Reply> answer) {
+        proven("/Retire.Read/" + node, answer, () -> answer.accept(retireStateNow(node)));
+    }
+
+    private synchronized Reply retireStateNow(String node) {
+        if (!retiring.contains(node)) {
+            return Reply.of(Codes.NO_NODE, "not retiring: " + node);
+        }
+        var holds = lines.values().stream().anyMatch(line -> nodeOf(line.joining()).equals(node) || line.copies().stream().anyMatch(id -> nodeOf(id).equals(node)));
+        return new Reply(Codes.FINE, "", ("{\"State\":\"" + (holds ? "running" : "finished") + "\"}").getBytes(StandardCharsets.UTF_8));
     }
 
     public synchronized boolean wantsRoster() {
         if (!raft.leadsFreshly()) {
             return false;
         }
-        for (var service : charter.services()) {
+        for (var service : charter().services()) {
             if (!service.pull() && service.endpoint().isEmpty()) {
                 return true;
             }
@@ -1168,6 +1151,6 @@
     }
 
     public synchronized Charter charter() {
-        return charter;
+        return orders.charter();
     }
 }
--- a/src/main/java/wellwheel/pilot/Raft.java
+++ b/src/main/java/wellwheel/pilot/Raft.java
@@ -1,5 +1,6 @@
 package wellwheel.pilot;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -21,10 +22,17 @@
     private static final long BEAT_US = 150_000;
     private static final long ELECTION_US = 700_000;
     private static final long FIRST_ELECTION_US = 100_000;
-    private static final long QUORUM_FRESH_US = 600_000;
-    private static final long SILENT_VOTER_US = 3_000_000;
+    private static final long LEASE_US = 600_000;
+    private static final long READ_WAIT_US = 700_000;
+    private static final int READS_MOST = 512;
+    private static final long SILENT_VOTER_US = 2_000_000;
+    private static final long LEARNER_KEPT_US = 6_000_000;
+    private static final long OUTSIDE_US = 3_000_000;
+    private static final long LEAVE_ASK_US = 100_000;
     private static final long LONG_JOURNAL = 8 << 20;
+    private static final int LONG_LOG = 4096;
     private static final int BATCH = 64;
+    private static final int BATCH_BYTES = 128 << 10;
 
     public interface Host {
         void apply(long index, byte[] command);
@@ -54,14 +62,9 @@
         }
     }
 
-    private static final class Follower {
-        long next;
-        long match;
-        long heardUs = Long.MIN_VALUE / 2;
-        long sinceUs;
-        long sentUs;
-        boolean waiting;
-    }
+    public record Standing(String ip, boolean votes, long behind, long silentUs, boolean blank, boolean leaving) { }
+
+    private record Read(long stamp, long sinceUs, Consumer<Boolean> done) { }
 
     private final String self;
     private final Clock clock;
@@ -73,8 +76,9 @@
     private List<String> firstVoters = List.of();
     private List<String> voters = List.of();
     private long votersIndex;
-    private boolean outside;
+    private long outsideUntilUs;
     private boolean amnesiac;
+    private long diskId;
     private long term;
     private String votedFor = "";
     private long snapIndex;
@@ -82,6 +86,8 @@
     private byte[] snapState = {};
     private final List<Entry> entries = new ArrayList<>();
     private long synced;
+    private long cuts;
+    private long verified;
     private long commit;
     private long applied;
     private Role role = Role.FOLLOWER;
@@ -91,8 +97,16 @@
     private final Set<String> votes = new HashSet<>();
     private final Map<String, Follower> followers = new HashMap<>();
     private final TreeMap<Long, Pending> pending = new TreeMap<>();
+    private final ArrayDeque<Read> reads = new ArrayDeque<>();
+    private final ChunkReceiver incoming = new ChunkReceiver();
+    private long stamp;
+    private long batches;
+    private long strange;
+    private long majoritySinceUs;
     private boolean transferring;
     private boolean leaving;
+    private boolean mayGo;
+    private long askedLeaveUs = Long.MIN_VALUE / 2;
     private boolean rewriting;
 
     private record Pending(long term, Consumer<Boolean> done) { }
@@ -109,6 +123,9 @@
         if (firstVoters.isEmpty()) {
             firstVoters = List.copyOf(seeds);
             amnesiac = !firstBoot;
+        }
+        if (diskId == 0) {
+            diskId = luck.nextLong() | 1;
             journal.append(votersRecord(), () -> { });
         }
         findVoters();
@@ -127,6 +144,7 @@
             case "voters" -> {
                 firstVoters = List.copyOf(record.texts("list"));
                 amnesiac = record.flag("amnesiac");
+                diskId = record.number("disk");
                 if (firstVoters.isEmpty()) {
                     throw new IllegalArgumentException("a list of voters that cannot be read whole");
                 }
@@ -143,7 +161,7 @@
                 }
             }
             case "snapshot" -> {
-                entries.clear();
+                keepAfter(record.number("index"), record.number("term"));
                 snapIndex = record.number("index");
                 snapTerm = record.number("term");
                 snapState = record.bytes("state");
@@ -154,7 +172,7 @@
     }
 
     private byte[] votersRecord() {
-        return Frame.of("voters").with("list", List.<Object>copyOf(firstVoters)).with("amnesiac", amnesiac).pack();
+        return Frame.of("voters").with("list", List.<Object>copyOf(firstVoters)).with("amnesiac", amnesiac).with("disk", diskId).pack();
     }
 
     private void findVoters() {
@@ -167,7 +185,9 @@
                 break;
             }
         }
-        outside &= !voters.contains(self);
+        if (voters.contains(self)) {
+            outsideUntilUs = Long.MIN_VALUE / 2;
+        }
     }
 
     public synchronized boolean enough() {
@@ -182,10 +202,41 @@
         return role == Role.LEADER && !transferring && applied >= leadFrom && freshMajority();
     }
 
+    public synchronized void confirm(Consumer<Boolean> done) {
+        if (role != Role.LEADER || transferring || applied < leadFrom || reads.size() >= READS_MOST) {
+            done.accept(false);
+            return;
+        }
+        reads.add(new Read(nextStamp(), clock.steadyUs(), done));
+        followers.forEach((ip, follower) -> {
+            if (voters.contains(ip)) {
+                wire.send(ip, head("raft.beat", ip, follower));
+            }
+        });
+        confirmReads();
+    }
+
+    private void confirmReads() {
+        while (!reads.isEmpty() && majoritySince(reads.peek().stamp())) {
+            reads.poll().done().accept(true);
+        }
+    }
+
+    private void dropReads(long olderThanUs) {
+        while (!reads.isEmpty() && reads.peek().sinceUs() < olderThanUs) {
+            reads.poll().done().accept(false);
+        }
+    }
+
+    private long nextStamp() {
+        stamp = Math.max(stamp + 1, clock.steadyUs());
+        return stamp;
+    }
+
     private long leadFrom;
 
     public synchronized String leader() {
-        return leader;
+        return leader.equals(self) || clock.steadyUs() - heardLeaderUs < ELECTION_US ? leader : "";
     }
 
     public synchronized long term() {
@@ -193,7 +244,24 @@
     }
 
     public synchronized boolean outsider() {
-        return outside || !voters.contains(self);
+        return outside() || !voters.contains(self);
+    }
+
+    private boolean outside() {
+        return clock.steadyUs() < outsideUntilUs;
+    }
+
+    public synchronized long strange() {
+        return strange + incoming.refused();
+    }
+
+    public synchronized long majorityForUs() {
+        return role == Role.LEADER && freshMajority() ? clock.steadyUs() - majoritySinceUs : 0;
+    }
+
+    public synchronized List<Standing> standings() {
+        var nowUs = clock.steadyUs();
+        return followers.entrySet().stream().map(e -> new Standing(e.getKey(), voters.contains(e.getKey()), lastIndex() - e.getValue().match, e.getValue().silentUs(nowUs), e.getValue().blank, e.getValue().leaving)).toList();
     }
 
     public synchronized List<String> voters() {
@@ -221,41 +289,51 @@
     }
 
     private boolean canRun() {
-        return voters.contains(self) && !amnesiac && !leaving && !outside;
+        return voters.contains(self) && !amnesiac && !leaving && !outside();
     }
 
     private void tickLeader(long nowUs) {
+        dropReads(nowUs - READ_WAIT_US);
         if (!freshMajority() && nowUs - becameUs > ELECTION_US) {
             LOG.log(System.Logger.Level.INFO, "leader lost its majority in term " + term);
             follow(term, "");
             return;
         }
         tendVoters(nowUs);
-        followers.entrySet().removeIf(e -> !voters.contains(e.getKey()) && nowUs - Math.max(e.getValue().sinceUs, e.getValue().heardUs) > 2 * SILENT_VOTER_US);
+        followers.entrySet().removeIf(e -> !voters.contains(e.getKey()) && e.getValue().silentUs(nowUs) > LEARNER_KEPT_US);
         followers.forEach((ip, follower) -> {
-            if (nowUs - follower.sentUs >= BEAT_US || !follower.waiting && follower.next <= lastIndex()) {
+            if (nowUs - follower.sentUs >= BEAT_US || follower.batch == 0 && follower.next <= lastIndex()) {
                 feed(ip, follower);
             }
         });
     }
 
     private void tendVoters(long nowUs) {
-        if (votersIndex > commit || applied < leadFrom || transferring || !freshMajority()) {
+        if (role != Role.LEADER || votersIndex > commit || applied < leadFrom || transferring || !freshMajority()) {
             return;
         }
-        var silent = voters.stream().filter(ip -> !ip.equals(self) && nowUs - Math.max(followers.get(ip).sinceUs, followers.get(ip).heardUs) > SILENT_VOTER_US).findFirst();
-        if (voters.size() > target && silent.isPresent()) {
-            changeVoters(voters.stream().filter(ip -> !ip.equals(silent.get())).toList());
+        var goer = goer(nowUs);
+        if (voters.size() > target) {
+            goer.ifPresent(ip -> changeVoters(voters.stream().filter(each -> !each.equals(ip)).toList()));
             return;
         }
-        var level = followers.entrySet().stream().filter(e -> !voters.contains(e.getKey()) && nowUs - e.getValue().heardUs < QUORUM_FRESH_US && e.getValue().match >= commit).map(Map.Entry::getKey).findFirst();
-        if (level.isPresent() && (voters.size() < target || voters.size() == target && silent.isPresent())) {
+        var level = level(nowUs);
+        if (level.isPresent() && (voters.size() < target || goer.isPresent())) {
             var more = new ArrayList<>(voters);
             more.add(level.get());
             changeVoters(more);
         }
     }
 
+    private Optional<String> goer(long nowUs) {
+        var silent = voters.stream().filter(followers::containsKey).filter(ip -> followers.get(ip).silentUs(nowUs) > SILENT_VOTER_US).findFirst();
+        return silent.or(() -> voters.stream().filter(followers::containsKey).filter(ip -> followers.get(ip).leaving).findFirst());
+    }
+
+    private Optional<String> level(long nowUs) {
+        return followers.entrySet().stream().filter(e -> !voters.contains(e.getKey()) && !e.getValue().leaving && e.getValue().counts() && nowUs - e.getValue().contactUs < LEASE_US && e.getValue().match >= commit).map(Map.Entry::getKey).findFirst();
+    }
+
     private void changeVoters(List<String> next) {
         LOG.log(System.Logger.Level.INFO, "voters change from " + voters + " to " + next);
         append(new Entry(term, new byte[0], List.copyOf(next)));
@@ -265,28 +343,65 @@
     private long becameUs;
 
     private boolean freshMajority() {
-        var nowUs = clock.steadyUs();
-        var fresh = 1 + followers.entrySet().stream().filter(e -> voters.contains(e.getKey()) && nowUs - e.getValue().heardUs < QUORUM_FRESH_US).count();
-        return fresh * 2 > voters.size();
+        return majoritySince(clock.steadyUs() - LEASE_US + 1);
+    }
+
+    private boolean majoritySince(long since) {
+        return heardSince(since, self) * 2 > voters.size();
+    }
+
+    private int heardSince(long since, String without) {
+        var heard = voters.contains(self) ? 1 : 0;
+        for (var ip : voters) {
+            var follower = followers.get(ip);
+            heard += follower != null && !ip.equals(without) && follower.counts() && follower.contactUs >= since ? 1 : 0;
+        }
+        return heard;
     }
 
     public synchronized boolean leave() {
         leaving = true;
-        if (role != Role.LEADER) {
+        if (role == Role.LEADER) {
+            return !transfers();
+        }
+        if (mayGo || !voters.contains(self)) {
             return true;
         }
-        var best = followers.entrySet().stream().filter(e -> voters.contains(e.getKey()) && clock.steadyUs() - e.getValue().heardUs < QUORUM_FRESH_US)
+        if (clock.steadyUs() - askedLeaveUs >= LEAVE_ASK_US && !leader.isEmpty()) {
+            askedLeaveUs = clock.steadyUs();
+            wire.send(leader, Frame.of("raft.leaving").with("term", term));
+        }
+        return false;
+    }
+
+    private boolean transfers() {
+        var nowUs = clock.steadyUs();
+        var best = followers.entrySet().stream().filter(e -> voters.contains(e.getKey()) && e.getValue().counts() && !e.getValue().leaving && nowUs - e.getValue().contactUs < LEASE_US)
             .max((a, b) -> Long.compare(a.getValue().match, b.getValue().match));
         if (best.isEmpty()) {
-            return true;
+            return false;
         }
         transferring = true;
         if (best.get().getValue().match == lastIndex()) {
             wire.send(best.get().getKey(), Frame.of("raft.now").with("term", term));
-            return true;
+        } else {
+            feed(best.get().getKey(), best.get().getValue());
+        }
+        return true;
+    }
+
+    private void onLeaving(String from) {
+        var follower = followers.get(from);
+        if (role != Role.LEADER || follower == null) {
+            return;
+        }
+        follower.leaving = true;
+        var nowUs = clock.steadyUs();
+        if (voters.size() <= target && level(nowUs).isEmpty()) {
+            wire.send(from, Frame.of("raft.go").with("term", term));
+        } else {
+            tendVoters(nowUs);
         }
-        feed(best.get().getKey(), best.get().getValue());
-        return false;
     }
 
     private long lastIndex() {
@@ -300,7 +415,16 @@
         return index < snapIndex || index > lastIndex() ? -1 : entries.get((int) (index - snapIndex - 1)).term();
     }
 
+    private void keepAfter(long index, long atTerm) {
+        if (termAt(index) == atTerm) {
+            entries.subList(0, (int) (index - snapIndex)).clear();
+        } else {
+            entries.clear();
+        }
+    }
+
     private void cutFrom(long index) {
+        cuts += lastIndex() >= index ? 1 : 0;
         while (lastIndex() >= index && !entries.isEmpty()) {
             entries.remove(entries.size() - 1);
         }
@@ -312,12 +436,12 @@
     private long append(Entry entry) {
         entries.add(entry);
         var index = lastIndex();
-        var atTerm = term;
+        var atCuts = cuts;
         if (!entry.voters().isEmpty()) {
             findVoters();
             voters.stream().filter(ip -> role == Role.LEADER && !ip.equals(self) && !followers.containsKey(ip)).forEach(this::addFollower);
         }
-        journal.append(entryRecord(index, entry), () -> onSynced(index, atTerm));
+        journal.append(entryRecord(index, entry), () -> onSynced(index, atCuts));
         return index;
     }
 
@@ -325,8 +449,8 @@
         return entry.frame().with("k", "entry").with("index", index).pack();
     }
 
-    private synchronized void onSynced(long index, long atTerm) {
-        if (atTerm == term && index <= lastIndex()) {
+    private synchronized void onSynced(long index, long atCuts) {
+        if (atCuts == cuts && index <= lastIndex()) {
             synced = Math.max(synced, index);
         }
         if (role == Role.LEADER) {
@@ -379,10 +503,10 @@
 
     private void ask(String kind, long at) {
         voters.stream().filter(ip -> !ip.equals(self)).forEach(ip ->
-            wire.send(ip, Frame.of(kind).with("term", at).with("last", lastIndex()).with("lastTerm", termAt(lastIndex())).with("forced", forced)));
+            wire.send(ip, Frame.of(kind).with("term", at).with("last", lastIndex()).with("lastTerm", termAt(lastIndex())).with("forced", at == forcedTerm)));
     }
 
-    private boolean forced;
+    private long forcedTerm;
 
     private void tally() {
         if (votes.size() * 2 <= voters.size()) {
@@ -398,9 +522,9 @@
     private void lead() {
         role = Role.LEADER;
         leader = self;
-        forced = false;
         transferring = false;
         becameUs = clock.steadyUs();
+        majoritySinceUs = becameUs;
         followers.clear();
         voters.stream().filter(ip -> !ip.equals(self)).forEach(this::addFollower);
         LOG.log(System.Logger.Level.INFO, "leads term " + term);
@@ -411,9 +535,7 @@
     }
 
     private Follower addFollower(String ip) {
-        var follower = new Follower();
-        follower.next = lastIndex() + 1;
-        follower.sinceUs = clock.steadyUs();
+        var follower = new Follower(lastIndex() + 1, clock.steadyUs());
         followers.put(ip, follower);
         return follower;
     }
@@ -422,8 +544,8 @@
         var led = role == Role.LEADER;
         role = Role.FOLLOWER;
         leader = newLeader;
-        forced = false;
         transferring = false;
+        verified = 0;
         if (newTerm > term) {
             saveVote(newTerm, "", () -> { });
         }
@@ -431,6 +553,7 @@
             var lost = List.copyOf(pending.values());
             pending.clear();
             lost.forEach(each -> each.done().accept(false));
+            dropReads(Long.MAX_VALUE);
             host.onYield();
         }
         resetElection();
@@ -443,18 +566,27 @@
             case "raft.vote" -> onVote(from, frame);
             case "raft.vote.ok" -> onVoteAnswer(from, frame, Role.CANDIDATE);
             case "raft.feed" -> onFeed(from, frame);
+            case "raft.beat" -> onBeat(from, frame);
+            case "raft.chunk" -> onChunk(from, frame);
+            case "raft.chunked" -> onChunked(from, frame);
             case "raft.fed" -> onFed(from, frame);
             case "raft.now" -> onNow(frame);
             case "raft.learn" -> onLearner(from);
+            case "raft.leaving" -> onLeaving(from);
+            case "raft.go" -> mayGo |= leaving && frame.number("term") == term;
             case "raft.leader" -> wire.send(frame.text("ip"), Frame.of("raft.learn"));
-            default -> { }
+            default -> strange++;
         }
     }
 
+    public synchronized void onDown(String ip) {
+        Optional.ofNullable(followers.get(ip)).ifPresent(Follower::broken);
+    }
+
     private void onLearner(String from) {
         if (role == Role.LEADER && followers.size() < 16 && !followers.containsKey(from)) {
             feed(from, addFollower(from));
-        } else if (role != Role.LEADER && !leader.isEmpty()) {
+        } else if (role != Role.LEADER && !leader().isEmpty()) {
             wire.send(from, Frame.of("raft.leader").with("ip", leader));
         }
     }
@@ -470,8 +602,8 @@
 
     private void onPre(String from, Frame frame) {
         var granted = !amnesiac && frame.number("term") > term && level(frame) && !hearsLeader();
-        var strange = !voters.contains(from) && hearsLeader();
-        wire.send(from, Frame.of("raft.pre.ok").with("term", frame.number("term")).with("granted", granted).with("seen", term).with("outside", strange));
+        var outsider = !voters.contains(from) && hearsLeader();
+        wire.send(from, Frame.of("raft.pre.ok").with("term", frame.number("term")).with("granted", granted).with("seen", term).with("outside", outsider).with("last", lastIndex()).with("lastTerm", termAt(lastIndex())));
     }
 
     private void onVote(String from, Frame frame) {
@@ -490,8 +622,8 @@
     }
 
     private void onVoteAnswer(String from, Frame frame, Role stage) {
-        if (frame.flag("outside") && stage == Role.PRE && role == Role.PRE) {
-            outside = true;
+        if (frame.flag("outside") && stage == Role.PRE && role == Role.PRE && level(frame)) {
+            outsideUntilUs = clock.steadyUs() + OUTSIDE_US;
             follow(term, "");
             return;
         }
@@ -508,33 +640,108 @@
 
     private void onNow(Frame frame) {
         if (frame.number("term") == term && canRun()) {
-            forced = true;
+            forcedTerm = term + 1;
             startVote();
         }
     }
 
+    private Frame head(String kind, String ip, Follower follower) {
+        var clear = follower.blank && heardSince(follower.blankStamp + 1, ip) * 2 > voters.size();
+        return Frame.of(kind).with("term", term).with("commit", commit).with("core", host.coreUs()).with("sent", nextStamp()).with("clear", clear);
+    }
+
     private void feed(String ip, Follower follower) {
-        follower.sentUs = clock.steadyUs();
-        var frame = Frame.of("raft.feed").with("term", term).with("commit", commit).with("core", host.coreUs()).with("voters", voters);
-        if (follower.next <= snapIndex) {
-            follower.waiting = true;
-            wire.send(ip, frame.with("snapIndex", snapIndex).with("snapTerm", snapTerm).with("snapState", snapState).with("snapVoters", List.<Object>copyOf(firstVoters)).with("prev", snapIndex).with("prevTerm", snapTerm));
-            return;
+        var nowUs = clock.steadyUs();
+        follower.sentUs = nowUs;
+        if (follower.underWay(nowUs)) {
+            wire.send(ip, head("raft.beat", ip, follower));
+            pump(ip, follower);
+        } else if (follower.next <= snapIndex) {
+            var whole = Frame.of("snapshot").with("snapIndex", snapIndex).with("snapTerm", snapTerm).with("snapState", snapState).with("snapVoters", List.<Object>copyOf(firstVoters)).with("prev", snapIndex).with("prevTerm", snapTerm);
+            inChunks(ip, follower, snapIndex, whole);
+        } else {
+            feedEntries(ip, follower, nowUs);
         }
+    }
+
+    private void feedEntries(String ip, Follower follower, long nowUs) {
         var batch = new ArrayList<Object>();
-        for (var index = follower.next; index <= lastIndex() && batch.size() < BATCH; index++) {
-            var entry = entries.get((int) (index - snapIndex - 1));
-            batch.add(entry.frame());
+        var bytes = 0;
+        var index = follower.next;
+        while (!follower.probing && index <= lastIndex() && batch.size() < BATCH && (batch.isEmpty() || bytes + size(index) <= BATCH_BYTES)) {
+            bytes += size(index);
+            batch.add(entries.get((int) (index++ - snapIndex - 1)).frame());
+        }
+        var prev = follower.next - 1;
+        if (bytes > BATCH_BYTES) {
+            inChunks(ip, follower, index - 1, Frame.of("entries").with("prev", prev).with("prevTerm", termAt(prev)).with("entries", batch));
+            return;
+        }
+        var frame = head("raft.feed", ip, follower).with("prev", prev).with("prevTerm", termAt(prev)).with("entries", batch);
+        if (!batch.isEmpty()) {
+            follower.begins(++batches, index - 1, nowUs);
+            frame.with("batch", batches);
         }
-        follower.waiting = !batch.isEmpty();
-        wire.send(ip, frame.with("prev", follower.next - 1).with("prevTerm", termAt(follower.next - 1)).with("entries", batch));
+        wire.send(ip, frame);
     }
 
-    private void onFeed(String from, Frame frame) {
+    private int size(long index) {
+        return entries.get((int) (index - snapIndex - 1)).command().length;
+    }
+
+    private void inChunks(String ip, Follower follower, long last, Frame whole) {
+        follower.begins(++batches, last, clock.steadyUs());
+        follower.chunks = Optional.of(new ChunkSender(batches, whole.pack()));
+        wire.send(ip, head("raft.beat", ip, follower));
+        pump(ip, follower);
+    }
+
+    private void pump(String ip, Follower follower) {
+        follower.chunks.ifPresent(chunks -> chunks.pump(chunk -> wire.send(ip, chunk.with("term", term).with("sent", nextStamp()))));
+    }
+
+    private void onChunk(String from, Frame chunk) {
+        if (chunk.number("term") != term || role != Role.FOLLOWER || !leader.equals(from)) {
+            strange++;
+            return;
+        }
+        var taken = incoming.take(from, chunk);
+        if (taken.answers()) {
+            wire.send(from, fed(term).with("k", "raft.chunked").with("sent", chunk.number("sent")).with("id", chunk.number("id")).with("have", taken.have()));
+        }
+        taken.whole().ifPresent(bytes -> takeWhole(from, chunk, bytes));
+    }
+
+    private void takeWhole(String from, Frame chunk, byte[] bytes) {
+        try {
+            takeFeed(from, Frame.unpack(bytes).with("term", term).with("sent", chunk.number("sent")).with("commit", 0L).with("batch", chunk.number("id")));
+        } catch (IllegalArgumentException e) {
+            strange++;
+        }
+    }
+
+    private void onChunked(String from, Frame frame) {
+        answered(from, frame).ifPresent(follower -> {
+            if (follower.chunks.map(each -> each.id() != frame.number("id")).orElse(true)) {
+                strange++;
+                return;
+            }
+            if (follower.chunks.get().acknowledged(frame.number("have"))) {
+                follower.moves(clock.steadyUs());
+            }
+            pump(from, follower);
+        });
+    }
+
+    private Frame fed(long at) {
+        return Frame.of("raft.fed").with("term", at).with("disk", diskId).with("blank", amnesiac).with("leaving", leaving);
+    }
+
+    private boolean hears(String from, Frame frame) {
         var at = frame.number("term");
         if (at < term) {
-            wire.send(from, Frame.of("raft.fed").with("term", term).with("ok", false).with("match", 0L));
-            return;
+            wire.send(from, fed(term).with("ok", false));
+            return false;
         }
         if (at > term || role != Role.FOLLOWER || !leader.equals(from)) {
             follow(at, from);
@@ -542,29 +749,50 @@
         heardLeaderUs = clock.steadyUs();
         resetElection();
         host.hearCore(frame.number("core"));
+        return true;
+    }
+
+    private void onBeat(String from, Frame frame) {
+        if (hears(from, frame)) {
+            wire.send(from, fed(term).with("ok", true).with("match", verified).with("sent", frame.number("sent")));
+            commitTo(Math.min(frame.number("commit"), verified));
+        }
+    }
+
+    private void onFeed(String from, Frame frame) {
+        if (hears(from, frame)) {
+            takeFeed(from, frame);
+        }
+    }
+
+    private void takeFeed(String from, Frame frame) {
+        var at = term;
         if (frame.has("snapState") && frame.number("snapIndex") > commit) {
             install(frame);
         }
+        var answer = fed(at).with("sent", frame.number("sent")).with("batch", frame.number("batch"));
         var prev = frame.number("prev");
         if (prev > lastIndex() || prev >= snapIndex && termAt(prev) != frame.number("prevTerm")) {
-            wire.send(from, Frame.of("raft.fed").with("term", term).with("ok", false).with("match", Math.min(prev - 1, lastIndex())));
+            wire.send(from, answer.with("ok", false).with("match", Math.min(prev - 1, lastIndex())));
             return;
         }
         takeEntries(prev, frame.frames("entries"));
         var match = prev + frame.frames("entries").size();
         var leaderCommit = Math.min(frame.number("commit"), match);
         journalSync(match, () -> {
-            if (term == at) {
-                wire.send(from, Frame.of("raft.fed").with("term", at).with("ok", true).with("match", match));
-                if (amnesiac && leaderCommit >= frame.number("commit") && match >= leaderCommit && match >= frame.number("commit")) {
-                    recovered(frame);
-                }
+            if (term != at) {
+                return;
+            }
+            verified = Math.max(verified, match);
+            if (amnesiac && frame.flag("clear") && match >= frame.number("commit")) {
+                recovered();
             }
+            wire.send(from, answer.with("ok", true).with("match", match).with("blank", amnesiac));
         });
         commitTo(leaderCommit);
     }
 
-    private void recovered(Frame frame) {
+    private void recovered() {
         amnesiac = false;
         votedFor = "?";
         journal.append(votersRecord(), () -> { });
@@ -577,10 +805,13 @@
             then.run();
             return;
         }
+        var atCuts = cuts;
         journal.append(Frame.of("mark").pack(), () -> {
             synchronized (this) {
-                synced = Math.max(synced, Math.min(match, lastIndex()));
-                then.run();
+                if (atCuts == cuts) {
+                    synced = Math.max(synced, match);
+                    then.run();
+                }
             }
         });
     }
@@ -599,15 +830,19 @@
     }
 
     private void install(Frame frame) {
-        entries.clear();
-        snapIndex = frame.number("snapIndex");
+        var index = frame.number("snapIndex");
+        if (termAt(index) != frame.number("snapTerm")) {
+            cuts++;
+            synced = 0;
+        }
+        keepAfter(index, frame.number("snapTerm"));
+        snapIndex = index;
         snapTerm = frame.number("snapTerm");
         snapState = frame.bytes("snapState");
         firstVoters = List.copyOf(frame.texts("snapVoters"));
         findVoters();
         commit = snapIndex;
         applied = snapIndex;
-        synced = snapIndex;
         journal.append(snapshotRecord(), () -> { });
         host.restore(snapState);
     }
@@ -616,27 +851,45 @@
         return Frame.of("snapshot").with("index", snapIndex).with("term", snapTerm).with("state", snapState).with("voters", List.<Object>copyOf(firstVoters)).pack();
     }
 
-    private void onFed(String from, Frame frame) {
+    private Optional<Follower> answered(String from, Frame frame) {
         if (frame.number("term") > term) {
             follow(frame.number("term"), "");
-            return;
+            return Optional.empty();
         }
         var follower = followers.get(from);
-        if (role != Role.LEADER || follower == null || frame.number("term") < term) {
-            return;
-        }
-        follower.heardUs = clock.steadyUs();
-        follower.waiting = false;
-        if (frame.flag("ok")) {
-            follower.match = Math.max(follower.match, frame.number("match"));
-            follower.next = Math.max(follower.next, follower.match + 1);
-            advance();
-        } else {
-            follower.next = Math.max(1, Math.min(follower.next - 1, frame.number("match") + 1));
+        var sent = frame.number("sent");
+        if (role != Role.LEADER || follower == null || frame.number("term") < term || sent == 0 || sent > stamp || !follower.hears(frame, stamp, lastIndex())) {
+            strange++;
+            return Optional.empty();
         }
-        if (follower.next <= lastIndex()) {
-            feed(from, follower);
+        hadContact(follower, sent);
+        return Optional.of(follower);
+    }
+
+    private void onFed(String from, Frame frame) {
+        answered(from, frame).ifPresent(follower -> {
+            if (frame.number("batch") != 0 && frame.number("batch") == follower.batch) {
+                follower.ends();
+            }
+            if (frame.flag("ok")) {
+                follower.holds(Math.min(frame.number("match"), lastIndex()));
+                advance();
+            } else if (follower.batch == 0) {
+                follower.misses(frame.number("match"));
+            }
+            if (role == Role.LEADER && follower.batch == 0 && follower.next <= lastIndex()) {
+                feed(from, follower);
+            }
+        });
+    }
+
+    private void hadContact(Follower follower, long sent) {
+        var held = freshMajority();
+        follower.contactUs = Math.max(follower.contactUs, sent);
+        if (!held && freshMajority()) {
+            majoritySinceUs = clock.steadyUs();
         }
+        confirmReads();
     }
 
     private void advance() {
@@ -644,14 +897,18 @@
         levels.add(synced);
         followers.forEach((ip, follower) -> {
             if (voters.contains(ip)) {
-                levels.add(follower.match);
+                levels.add(follower.counts() ? follower.match : 0L);
             }
         });
+        while (levels.size() < voters.size()) {
+            levels.add(0L);
+        }
         levels.sort((a, b) -> Long.compare(b, a));
         var agreed = levels.get(voters.size() / 2);
         if (agreed > commit && termAt(agreed) == term) {
             commitTo(agreed);
             followers.forEach(this::feed);
+            tendVoters(clock.steadyUs());
         }
     }
 
@@ -668,7 +925,7 @@
     }
 
     private void compact() {
-        if (rewriting || journal.bytesLong() < LONG_JOURNAL && entries.size() < 4096 || applied <= snapIndex) {
+        if (rewriting || journal.bytesLong() < Math.max(LONG_JOURNAL, 2L * snapState.length) && entries.size() < LONG_LOG || applied <= snapIndex) {
             return;
         }
         rewriting = true;
