--- a/src/main/java/wellwheel/pilot/Raft.java
+++ b/src/main/java/wellwheel/pilot/Raft.java
@@ -129,7 +129,6 @@
             journal.append(votersRecord(), () -> { });
         }
         findVoters();
-        synced = lastIndex();
         commit = snapIndex;
         applied = snapIndex;
         if (snapState.length > 0) {
