Pilots: learners known to every leader, a leaver waits for one, the unheard ask to learn

Feeds now name the learners; a leaver waits while one may still become level (4 s at most, within GraceS less 1.5 s); whoever hears no leader asks.

--- a/src/main/java/wellwheel/pilot/Pilot.java
+++ b/src/main/java/wellwheel/pilot/Pilot.java
@@ -23,7 +23,8 @@
     private static final System.Logger LOG = System.getLogger("pilot");
     private static final long TICK_US = 50_000;
     private static final long POLL_US = 900_000;
-    private static final long LEAVE_MOST_US = 2_000_000;
+    private static final long LEAVE_MOST_US = 4_000_000;
+    private static final long END_MARGIN_US = 1_500_000;
     private static final int BAD_STATE_STATUS = 79;
     private static final int PAGES_MOST = 200;
     private static final Charter.Caps CAPS = new Charter.Caps(16384, 8 << 20, 5_000_000, 30_000_000);
@@ -75,8 +76,9 @@
         }
         leaving = true;
         leftUs = station.clock().steadyUs();
+        var mostUs = Math.min(LEAVE_MOST_US, station.options().graceUs() - END_MARGIN_US);
         station.clock().every(20_000, () -> {
-            if (node.raft().leave() || station.clock().steadyUs() - leftUs > LEAVE_MOST_US) {
+            if (node.raft().leave() || station.clock().steadyUs() - leftUs > mostUs) {
                 station.clock().after(150_000, station::end);
             }
         });
--- a/src/main/java/wellwheel/pilot/PilotNode.java
+++ b/src/main/java/wellwheel/pilot/PilotNode.java
@@ -671,10 +671,8 @@
         });
     }
 
-    public synchronized void learn() {
-        if (raft.outsider()) {
-            raft.voters().forEach(ip -> wire.send(ip, Frame.of("raft.learn")));
-        }
+    public void learn() {
+        raft.learn();
     }
 
     private long claimUs(Holder holder) {
--- a/src/main/java/wellwheel/pilot/Raft.java
+++ b/src/main/java/wellwheel/pilot/Raft.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -27,6 +28,8 @@
     private static final int READS_MOST = 512;
     private static final long SILENT_VOTER_US = 2_000_000;
     private static final long LEARNER_KEPT_US = 6_000_000;
+    private static final long LEARNER_HOPED_US = 1_500_000;
+    private static final int LEARNERS_MOST = 16;
     private static final long OUTSIDE_US = 3_000_000;
     private static final long LEAVE_ASK_US = 100_000;
     private static final long LONG_JOURNAL = 8 << 20;
@@ -73,8 +76,10 @@
     private final Host host;
     private final Random luck;
     private final int target;
+    private final List<String> seeds;
     private List<String> firstVoters = List.of();
     private List<String> voters = List.of();
+    private List<String> learners = List.of();
     private long votersIndex;
     private long outsideUntilUs;
     private boolean amnesiac;
@@ -119,6 +124,7 @@
         this.luck = new Random(seed);
         this.journal = new Journal(disk, "pilot.journal");
         this.target = target;
+        this.seeds = List.copyOf(seeds);
         journal.replay(record -> recover(Frame.unpack(record)));
         if (firstVoters.isEmpty()) {
             firstVoters = List.copyOf(seeds);
@@ -242,8 +248,13 @@
         return term;
     }
 
-    public synchronized boolean outsider() {
-        return outside() || !voters.contains(self);
+    public synchronized void learn() {
+        if (role != Role.LEADER && (outside() || !voters.contains(self) || amnesiac || clock.steadyUs() - heardLeaderUs > ELECTION_US)) {
+            var known = new LinkedHashSet<>(voters);
+            known.addAll(seeds);
+            known.remove(self);
+            known.forEach(ip -> wire.send(ip, Frame.of("raft.learn")));
+        }
     }
 
     private boolean outside() {
@@ -396,13 +407,17 @@
         }
         follower.leaving = true;
         var nowUs = clock.steadyUs();
-        if (voters.size() <= target && level(nowUs).isEmpty()) {
+        if (voters.size() <= target && learners(nowUs).isEmpty()) {
             wire.send(from, Frame.of("raft.go").with("term", term));
         } else {
             tendVoters(nowUs);
         }
     }
 
+    private List<String> learners(long nowUs) {
+        return followers.entrySet().stream().filter(e -> !voters.contains(e.getKey()) && !e.getValue().leaving && e.getValue().silentUs(nowUs) < LEARNER_HOPED_US).map(Map.Entry::getKey).toList();
+    }
+
     private long lastIndex() {
         return snapIndex + entries.size();
     }
@@ -526,6 +541,7 @@
         majoritySinceUs = becameUs;
         followers.clear();
         voters.stream().filter(ip -> !ip.equals(self)).forEach(this::addFollower);
+        learners.stream().filter(ip -> !ip.equals(self) && !followers.containsKey(ip)).forEach(this::addFollower);
         LOG.log(System.Logger.Level.INFO, "leads term " + term);
         append(new Entry(term, new byte[0], voters));
         leadFrom = lastIndex();
@@ -583,7 +599,7 @@
     }
 
     private void onLearner(String from) {
-        if (role == Role.LEADER && followers.size() < 16 && !followers.containsKey(from)) {
+        if (role == Role.LEADER && followers.size() < voters.size() + LEARNERS_MOST && !followers.containsKey(from)) {
             feed(from, addFollower(from));
         } else if (role != Role.LEADER && !leader().isEmpty()) {
             wire.send(from, Frame.of("raft.leader").with("ip", leader));
@@ -646,7 +662,9 @@
 
     private Frame head(String kind, String ip, Follower follower) {
         var clear = follower.blank && heardSince(follower.blankStamp + 1, ip) * 2 > voters.size();
-        return Frame.of(kind).with("term", term).with("commit", commit).with("core", host.coreUs()).with("sent", nextStamp()).with("clear", clear);
+        var frame = Frame.of(kind).with("term", term).with("commit", commit).with("core", host.coreUs()).with("sent", nextStamp()).with("clear", clear);
+        var learning = learners(clock.steadyUs());
+        return learning.isEmpty() ? frame : frame.with("learners", List.<Object>copyOf(learning));
     }
 
     private void feed(String ip, Follower follower) {
@@ -748,6 +766,7 @@
         heardLeaderUs = clock.steadyUs();
         resetElection();
         host.hearCore(frame.number("core"));
+        learners = frame.texts("learners").stream().limit(LEARNERS_MOST).toList();
         return true;
     }
 
