Links: frames of an older life or connection of a peer are refused once a newer has spoken

What lay in an old connection was read whenever the loop came to it, also after the peer's next life or its next connection had spoken: an acknowledgment of a disk that is gone, a claim of a former life. A hello now names the peer's life (wall clock at its start) and numbers its connections; the newest pair is heard, an older one is told the life that is known and takes a later one if it lives, so a clock set back locks nobody out. A hello without a life (former version) is heard as before. One entry per peer, 4,096 at most, no timer per peer.

--- a/src/main/java/wellwheel/gallery/GalleryNode.java
+++ b/src/main/java/wellwheel/gallery/GalleryNode.java
@@ -138,7 +138,7 @@
         relays = new Relays(clock, wire, options.zone());
         relays.named(options.node());
         startedUs = clock.steadyUs();
-        lastRid = (incarnation & 0xffffffL) << 32;
+        lastRid = (incarnation & 0x7fffffffL) << 32;
     }
 
     public Claim claim() {
@@ -590,8 +590,10 @@
             }
             look.best = Optional.of(frame);
         } else if (!look.wide && frame.flag("sure")) {
+            looks.remove(rid);
             look.wide = true;
-            ask(rid, look);
+            looks.put(++lastRid, look);
+            ask(lastRid, look);
             return;
         }
         if (look.wide && frame.flag("sure")) {
--- a/src/main/java/wellwheel/lantern/Links.java
+++ b/src/main/java/wellwheel/lantern/Links.java
@@ -17,8 +17,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 public final class Links implements Wire {
     private static final System.Logger LOG = System.getLogger("links");
@@ -29,6 +31,8 @@
     private static final long REST_US = 100_000;
     private static final long PING_US = 200_000;
     private static final long SILENT_US = 750_000;
+    private static final long REFUSED_US = 1_000_000;
+    private static final int PEERS_MOST = 4096;
 
     private record Queued(Frame frame, byte[] bytes) { }
 
@@ -38,7 +42,6 @@
         boolean connecting;
         boolean active;
         long restUntilUs;
-        long pongUs;
         long pingUs;
         boolean talked;
         boolean owed;
@@ -55,8 +58,16 @@
     private final EventLoop loop;
     private final LoopClock clock;
     private final Map<String, Link> links = new HashMap<>();
+    private final Map<String, Inbound> newest = new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Inbound> eldest) {
+            return size() > PEERS_MOST;
+        }
+    };
     private final List<Link> unflushed = new ArrayList<>();
     private boolean flushing;
+    private long life;
+    private long connections;
     private Ear ear = new Ear() {
         @Override
         public void onFrame(String peerIp, Frame frame) { }
@@ -70,6 +81,7 @@
         this.port = port;
         this.loop = loop;
         this.clock = clock;
+        this.life = clock.wallUs();
     }
 
     public void open(Ear newEar) throws InterruptedException {
@@ -87,18 +99,21 @@
 
     private final class Inbound extends SimpleChannelInboundHandler<ByteBuf> {
         private String peer = "";
+        private long life;
+        private long number;
+        private boolean superseded;
+        private Runnable close = () -> { };
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf buffer) {
             var bytes = new byte[buffer.readableBytes()];
             buffer.readBytes(bytes);
             var frame = Frame.unpack(bytes);
+            if (superseded) {
+                return;
+            }
             if (peer.isEmpty()) {
-                if (!frame.kind().equals("hello") || frame.number("proto") != PROTOCOL) {
-                    context.close();
-                    return;
-                }
-                peer = frame.text("ip");
+                greet(context, frame);
             } else if (frame.kind().equals("ping")) {
                 context.writeAndFlush(framed(Frame.of("pong").pack()));
             } else {
@@ -106,6 +121,36 @@
             }
         }
 
+        private void greet(ChannelHandlerContext context, Frame hello) {
+            if (!hello.kind().equals("hello") || hello.number("proto") != PROTOCOL) {
+                context.close();
+                return;
+            }
+            life = hello.number("life");
+            number = hello.number("c");
+            var known = Optional.ofNullable(newest.get(hello.text("ip")));
+            if (known.filter(each -> life > 0 && !isNewerThan(each)).isPresent()) {
+                LOG.log(System.Logger.Level.INFO, "refused an older connection of " + hello.text("ip"));
+                superseded = true;
+                context.writeAndFlush(framed(Frame.of("stale").with("life", known.get().life).pack()));
+                clock.after(REFUSED_US, context::close);
+                return;
+            }
+            peer = hello.text("ip");
+            close = context::close;
+            newest.put(peer, this);
+            known.ifPresent(Inbound::supersede);
+        }
+
+        private boolean isNewerThan(Inbound other) {
+            return life > other.life || life == other.life && number > other.number;
+        }
+
+        private void supersede() {
+            superseded = true;
+            close.run();
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             context.close();
@@ -121,8 +166,15 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf buffer) {
-            link.pongUs = clock.steadyUs();
-            link.owed = false;
+            var bytes = new byte[buffer.readableBytes()];
+            buffer.readBytes(bytes);
+            var frame = Frame.unpack(bytes);
+            if (frame.kind().equals("stale")) {
+                life = Math.max(life, frame.number("life")) + 1;
+                context.close();
+            } else if (link.channel == context.channel()) {
+                link.owed = false;
+            }
         }
 
         @Override
@@ -219,8 +271,7 @@
         link.channel = future.channel();
         link.active = true;
         link.owed = false;
-        link.pongUs = clock.steadyUs();
-        link.channel.write(framed(Frame.of("hello").with("proto", PROTOCOL).with("ip", ip).pack()), link.channel.voidPromise());
+        link.channel.write(framed(Frame.of("hello").with("proto", PROTOCOL).with("ip", ip).with("life", life).with("c", ++connections).pack()), link.channel.voidPromise());
         queued.forEach(each -> write(link, each.frame(), each.bytes()));
         flush();
     }
