Door and keepers: no answer in another's place, no success that was read and dropped

Door: an answer to HEAD carried its body, which stood where the next answer on the connection is read; malformed bytes behind a sound request closed it without its answer; CONNECT was taken though its target can only be malformed; a 100 for a pipelined request could come before the answer of the one ahead of it.

Keepers: the outcome of a leg that came while its record was being brought to the copies after a takeover was dropped, so a success ran again; it is now held with the outcomes that look for their primary. A leg's end takes the message out of its queue, as a worker's does. A hand-in whose id another message bears was told that it is kept. A primary that has not heard of its successor refused an end or extend of the successor's lease with 409; it is 503 now, which galleries send on.

Ruled out by tests that were right before: order of pipelined requests, what follows Connection: close, second and late answers to an exchange.

Shown by DoorTest and KeeperNodeTest; with each mend or guard taken out in a scratch copy the test named for it fails (the 100 and the queue have none).

--- a/src/main/java/wellwheel/keeper/KeeperNode.java
+++ b/src/main/java/wellwheel/keeper/KeeperNode.java
@@ -834,7 +834,7 @@
         var line = line(frame.small("l"));
         var rid = frame.number("rid");
         var known = line.messages.get(frame.text("i"));
-        if (!line.open || known == null && (!line.whole() || leaving && !line.place.primary().equals(id) || liveBytes > LIVE_BYTES_MOST || liveMessages() > MESSAGES_MOST)) {
+        if (!line.open || known != null && !known.isHandInOf(frame) || known == null && (!line.whole() || leaving && !line.place.primary().equals(id) || liveBytes > LIVE_BYTES_MOST || liveMessages() > MESSAGES_MOST)) {
             wire.send(from, Frame.of("put.ok").with("rid", rid).with("r", "no"));
             return;
         }
@@ -1541,9 +1541,16 @@
             return;
         }
         var message = line.messages.getOrDefault(told.id, told);
-        if (!message.lease.equals(lease) || !message.waiting() || message.settling) {
+        if (!message.lease.equals(lease) || !message.waiting() || message.endedLease.equals(lease)) {
             return;
         }
+        if (message.settling) {
+            orphan(line, message, lease, outcome.result(), outcome.seal());
+            return;
+        }
+        if (message.queued) {
+            desks.values().forEach(desk -> desk.removeIf(each -> each == message));
+        }
         if (outcome.result() != Courier.Result.DONE) {
             message.notes(switch (outcome.result()) {
                 case FAILED -> "ran and failed";
@@ -1690,7 +1697,7 @@
         var line = line(frame.small("line"));
         var answer = Frame.of("end.ok").with("rid", frame.number("rid"));
         var message = line.messages.get(frame.text("id"));
-        if (!line.open || message != null && message.doubted && !message.endedLease.equals(frame.text("lease"))) {
+        if (!line.open || Message.epochOf(frame.text("lease")) > line.epoch || message != null && message.doubted && !message.endedLease.equals(frame.text("lease"))) {
             wire.send(from, answer.with("r", 503));
             return;
         }
@@ -1762,7 +1769,7 @@
         var line = line(frame.small("line"));
         var answer = Frame.of("end.ok").with("rid", frame.number("rid"));
         var message = line.messages.get(frame.text("id"));
-        if (!line.open || message != null && message.doubted) {
+        if (!line.open || Message.epochOf(frame.text("lease")) > line.epoch || message != null && message.doubted) {
             wire.send(from, answer.with("r", 503));
             return;
         }
--- a/src/main/java/wellwheel/keeper/Message.java
+++ b/src/main/java/wellwheel/keeper/Message.java
@@ -94,10 +94,18 @@
         heldBy = frame.text("hb");
     }
 
+    boolean isHandInOf(Frame put) {
+        return tenant.equals(put.text("t")) && host.equals(put.text("h")) && method.equals(put.text("m")) && target.equals(put.text("p")) && orderKey.equals(put.text("o"));
+    }
+
+    static long epochOf(String lease) {
+        return lease.isEmpty() ? 0 : Long.parseLong(lease.split("\\.")[1]);
+    }
+
     boolean yieldsTo(String otherLease, long openedEpoch) {
         var parts = otherLease.split("\\.");
-        var epoch = Long.parseLong(parts[1]);
-        var known = lease.isEmpty() ? 0 : Long.parseLong(lease.split("\\.")[1]);
+        var epoch = epochOf(otherLease);
+        var known = epochOf(lease);
         return epoch < openedEpoch && (epoch > known || epoch == known && Long.parseLong(parts[2]) > leg);
     }
 
--- a/src/main/java/wellwheel/lantern/Door.java
+++ b/src/main/java/wellwheel/lantern/Door.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -164,7 +165,7 @@
             head = Optional.of(request);
             headBegun = false;
             body = new ByteArrayOutputStream(256);
-            if (HttpUtil.is100ContinueExpected(request)) {
+            if (HttpUtil.is100ContinueExpected(request) && busy.isEmpty()) {
                 channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
             }
         }
@@ -174,7 +175,7 @@
             var codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
             var coded = codings.isEmpty() || codings.size() == 1 && codings.get(0).trim().equalsIgnoreCase("chunked") && request.protocolVersion().equals(HttpVersion.HTTP_1_1);
             var hosted = headers.getAll(HttpHeaderNames.HOST).size() == 1;
-            return coded && hosted && headers.getAll(HttpHeaderNames.CONTENT_LENGTH).size() <= 1 && request.uri().startsWith("/") && request.protocolVersion().majorVersion() == 1;
+            return coded && hosted && !request.method().equals(HttpMethod.CONNECT) && headers.getAll(HttpHeaderNames.CONTENT_LENGTH).size() <= 1 && request.uri().startsWith("/") && request.protocolVersion().majorVersion() == 1;
         }
 
         private void takeBody(HttpContent content) {
@@ -221,15 +222,13 @@
             broken = true;
             waiting.clear();
             if (busy.isEmpty()) {
-                write(Exchange.Answer.of(code).closing(), false);
-            } else {
-                channel.close();
+                write(Exchange.Answer.of(code).closing(), false, false);
             }
         }
 
-        void write(Exchange.Answer answer, boolean keepAlive) {
+        void write(Exchange.Answer answer, boolean keepAlive, boolean bare) {
             var status = answer.code().status();
-            var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), status == 204 ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(answer.body()));
+            var response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), status == 204 || bare ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(answer.body()));
             for (var i = 0; i + 1 < answer.headers().size(); i += 2) {
                 response.headers().set(answer.headers().get(i), answer.headers().get(i + 1));
             }
@@ -257,7 +256,7 @@
             busy = Optional.empty();
             touchedUs = clock.steadyUs();
             if (channel.isActive()) {
-                write(answer, HttpUtil.isKeepAlive(request.head));
+                write(answer, HttpUtil.isKeepAlive(request.head) && !broken, request.head.method().equals(HttpMethod.HEAD));
                 serve();
             }
         }
--- a/src/test/java/wellwheel/keeper/KeeperNodeTest.java
+++ b/src/test/java/wellwheel/keeper/KeeperNodeTest.java
@@ -31,6 +31,8 @@
     private final PriorityQueue<Task> tasks = new PriorityQueue<>((a, b) -> Long.compare(a.atUs(), b.atUs()));
     private final List<Frame> sentToOther = new ArrayList<>();
     private final List<Frame> sentToPilot = new ArrayList<>();
+    private final List<Consumer<Courier.Outcome>> legs = new ArrayList<>();
+    private String config = CONFIG;
     private KeeperNode node;
 
     private final Clock clock = new Clock() {
@@ -75,10 +77,18 @@
 
     @BeforeEach
     void start() throws Exception {
+        boot();
+        other("rep").forEach(frame -> node.onFrame(OTHER, Frame.of("ok").with("l", frame.small("l")).with("s", frame.number("s"))));
+        sentToOther.clear();
+    }
+
+    private void boot() throws Exception {
         var options = Options.read("{\"NodeName\":\"me\",\"Ip\":\"10.0.0.2\",\"Zone\":\"z\",\"ListenOn\":{},\"InternalPorts\":[7100,7115],\"SeedNodes\":[\"" + PILOT + ":1\"],\"FirstBoot\":true,\"Survive\":{\"Machines\":1}}");
         node = new KeeperNode(options, clock, wire, disk, new Courier() {
             @Override
-            public void deliver(Leg leg, Consumer<Outcome> done) { }
+            public void deliver(Leg leg, Consumer<Outcome> done) {
+                legs.add(done);
+            }
 
             @Override
             public void forget(String address) { }
@@ -86,8 +96,6 @@
         node.tick();
         news(line(1, List.of(node.id(), "other#1"), "", 2, 1));
         handIn("m1");
-        other("rep").forEach(frame -> node.onFrame(OTHER, Frame.of("ok").with("l", frame.small("l")).with("s", frame.number("s"))));
-        sentToOther.clear();
     }
 
     private static Layout.Line line(long epoch, List<String> copies, String joining, int need, long version) {
@@ -96,7 +104,7 @@
 
     private void news(Layout.Line line) {
         var members = List.of(new Layout.Member(node.id(), "keeper", "10.0.0.2", "z"), new Layout.Member("other#1", "keeper", OTHER, "y"));
-        var frame = Frame.of("claim.ok").with("sent", nowUs).with("core", nowUs).with("voters", List.<Object>of(PILOT)).with("rev", 1).with("config", CONFIG.getBytes(StandardCharsets.UTF_8))
+        var frame = Frame.of("claim.ok").with("sent", nowUs).with("core", nowUs).with("voters", List.<Object>of(PILOT)).with("rev", 1).with("config", config.getBytes(StandardCharsets.UTF_8))
             .with("mem", 1).with("members", members.stream().map(Layout.Member::frame).toList()).with("lines", List.of(line.frame()));
         node.onFrame(PILOT, Frame.unpack(frame.pack()));
     }
@@ -182,4 +190,68 @@
         node.tick();
         assertThat(other("rep")).hasSize(2);
     }
+
+    private void copyAcknowledges() {
+        for (var frame : other("rep")) {
+            sentToOther.remove(frame);
+            node.onFrame(OTHER, Frame.of("ok").with("l", frame.small("l")).with("s", frame.number("s")));
+        }
+    }
+
+    private Frame look() {
+        sentToPilot.clear();
+        node.onFrame("10.0.0.9", Frame.of("look").with("rid", 7).with("line", 0).with("id", "m1").with("tenant", "t").with("host", "h"));
+        return sentToPilot.stream().filter(frame -> frame.kind().equals("look.ok")).findFirst().orElse(Frame.of("none"));
+    }
+
+    private void pushedTo(String address) throws Exception {
+        config = CONFIG.replace("\"WorkerPull\":true,\"Endpoint\":null", "\"WorkerPull\":false,\"Endpoint\":\"" + address + "\"");
+        sentToOther.clear();
+        legs.clear();
+        boot();
+        copyAcknowledges();
+        copyAcknowledges();
+        assertThat(legs).hasSize(1);
+    }
+
+    @Test
+    void aSuccessThatIsReadWhileTheRecordIsBeingBroughtToTheCopyAfterATakeoverIsNotLost() throws Exception {
+        pushedTo("10.0.0.7:80");
+        news(line(2, List.of("other#1", node.id()), "", 2, 2));
+        var record = new Frame().with("k", "u").with("l", 0).with("i", "m1").with("v", (2L << 20) + 1).with("ep", 2).with("g", 1).with("le", 1);
+        node.onFrame(OTHER, Frame.unpack(Frame.of("rep").with("l", 0).with("e", 2L).with("s", (2L << 32) + 1).with("w", 1).with("c", record).pack()));
+        sentToOther.clear();
+        news(line(3, List.of(node.id(), "other#1"), "", 2, 3));
+        legs.get(0).accept(new Courier.Outcome(Courier.Result.DONE, "the seal", ""));
+        copyAcknowledges();
+        nowUs += 60_000;
+        node.tick();
+        sentToPilot.stream().filter(frame -> frame.kind().equals("outcome")).toList().forEach(frame -> node.onFrame("10.0.0.2", frame));
+        copyAcknowledges();
+        var state = look();
+        assertThat(state.text("seal")).isEqualTo("the seal");
+        assertThat(legs).hasSize(1);
+    }
+
+    @Test
+    void anEndOfALeaseThatALaterPrimaryGrantedIsNotForThisOneToRefuse() {
+        sentToPilot.clear();
+        for (var kind : List.of("end", "extend")) {
+            node.onFrame("10.0.0.9", Frame.of(kind).with("rid", 5).with("line", 0).with("id", "m1").with("lease", "0.2.1").with("result", 200).with("seal", "s"));
+            node.onFrame("10.0.0.9", Frame.of(kind).with("rid", 6).with("line", 0).with("id", "m1").with("lease", "0.1.7").with("result", 200).with("seal", "s"));
+        }
+        var told = sentToPilot.stream().filter(frame -> frame.kind().equals("end.ok")).map(frame -> frame.number("rid") + " " + frame.number("r")).toList();
+        assertThat(told).containsExactly("5 503", "6 409", "5 503", "6 409").inOrder();
+    }
+
+    @Test
+    void anotherMessageOfTheSameNameIsNotToldThatItIsKept() {
+        sentToPilot.clear();
+        var same = Frame.of("put").with("l", 0).with("rid", 1).with("i", "m1").with("t", "t").with("h", "h").with("m", "POST").with("p", "/x").with("keep", 90_000_000L).with("b", "the body".getBytes(StandardCharsets.UTF_8));
+        node.onFrame("10.0.0.9", Frame.unpack(same.pack()));
+        node.onFrame("10.0.0.9", Frame.unpack(same.with("rid", 2).with("t", "other tenant").pack()));
+        node.onFrame("10.0.0.9", Frame.unpack(same.with("rid", 3).with("t", "t").with("p", "/y").pack()));
+        var told = sentToPilot.stream().filter(frame -> frame.kind().equals("put.ok")).map(frame -> frame.number("rid") + " " + frame.text("r")).toList();
+        assertThat(told).containsExactly("1 kept", "2 no", "3 no").inOrder();
+    }
 }
--- a/src/test/java/wellwheel/lantern/DoorTest.java
+++ b/src/test/java/wellwheel/lantern/DoorTest.java
@@ -9,6 +9,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
@@ -18,6 +20,7 @@
 class DoorTest {
     private static final NioEventLoopGroup GROUP = new NioEventLoopGroup(1);
     private static final CopyOnWriteArrayList<String> SEEN = new CopyOnWriteArrayList<>();
+    private static final LinkedBlockingQueue<Exchange> HELD = new LinkedBlockingQueue<>();
     private static int port;
 
     @BeforeAll
@@ -29,6 +32,10 @@
         var caps = new Charter.Caps(512, 64, 300_000, 400_000);
         var door = new Door(loop, new LoopClock(loop), () -> caps, 100, exchange -> {
             SEEN.add(exchange.method() + " " + exchange.target() + " " + new String(exchange.body(), StandardCharsets.UTF_8));
+            if (exchange.target().startsWith("/held")) {
+                HELD.add(exchange);
+                return;
+            }
             exchange.answer(Exchange.Answer.of(Codes.FINE).with("text/plain", "yes".getBytes(StandardCharsets.UTF_8)));
         });
         door.open("127.0.0.1:" + port);
@@ -59,6 +66,7 @@
         "POST /bad HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n",
         "GET /bad HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
         "GET /bad HTTP/1.1\r\n\r\n",
+        "CONNECT /bad HTTP/1.1\r\nHost: h\r\n\r\n",
         "GET http://elsewhere/bad HTTP/1.1\r\nHost: h\r\n\r\n",
         "GET /bad HTTP/1.1\r\nHost: h\r\nBad Name: x\r\n\r\n"})
     void malformedRequestsAreRefusedAndTheConnectionClosed(String request) throws IOException {
@@ -88,4 +96,89 @@
         assertThat(answer.split("HTTP/1.1 200", -1)).hasLength(4);
         assertThat(SEEN).containsExactly("POST /a hi", "POST /b yeo", "GET /c ").inOrder();
     }
+
+    private static Exchange held() throws InterruptedException {
+        return HELD.poll(10, TimeUnit.SECONDS);
+    }
+
+    private static void answer(Exchange exchange, String text) {
+        GROUP.next().execute(() -> exchange.answer(Exchange.Answer.of(Codes.FINE).with("text/plain", text.getBytes(StandardCharsets.UTF_8))));
+    }
+
+    private static String readUntil(Socket socket, String end) throws IOException {
+        var found = new StringBuilder();
+        while (!found.toString().endsWith(end)) {
+            var next = socket.getInputStream().read();
+            if (next < 0) {
+                break;
+            }
+            found.append((char) next);
+        }
+        return found.toString();
+    }
+
+    private static Socket connection(String request) throws IOException {
+        var socket = new Socket("127.0.0.1", port);
+        socket.setSoTimeout(10_000);
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+        return socket;
+    }
+
+    @Test
+    void anAnswerToHeadHasNoBodySoTheNextOneIsReadInItsPlace() throws IOException {
+        var answer = tell("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        var parts = answer.split("\r\n\r\n", -1);
+        assertThat(parts).hasLength(3);
+        assertThat(parts[0].toLowerCase(java.util.Locale.ROOT)).contains("content-length: 3");
+        assertThat(parts[1]).startsWith("HTTP/1.1 200");
+        assertThat(parts[2]).isEqualTo("yes");
+    }
+
+    @Test
+    void whatFollowsConnectionCloseIsNeverServed() throws Exception {
+        SEEN.clear();
+        try (var socket = connection("GET /held HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\nGET /after HTTP/1.1\r\nHost: h\r\n\r\n")) {
+            answer(held(), "first");
+            var all = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertThat(all.split("HTTP/1.1 200", -1)).hasLength(2);
+            assertThat(SEEN).containsExactly("GET /held ");
+        }
+    }
+
+    @Test
+    void aSecondOrLateAnswerToAnExchangeNeverReachesTheNextRequest() throws Exception {
+        try (var socket = connection("GET /held/1 HTTP/1.1\r\nHost: h\r\n\r\nGET /held/2 HTTP/1.1\r\nHost: h\r\n\r\n")) {
+            var first = held();
+            answer(first, "one.");
+            assertThat(readUntil(socket, "one.")).startsWith("HTTP/1.1 200");
+            var second = held();
+            answer(first, "again.");
+            answer(second, "two.");
+            var answer = readUntil(socket, "two.");
+            assertThat(answer).startsWith("HTTP/1.1 200");
+            assertThat(answer).doesNotContain("again.");
+        }
+    }
+
+    @Test
+    void answersGoOutInTheOrderOfTheRequestsAndOnlyOneIsServedAtATime() throws Exception {
+        try (var socket = connection("GET /held/1 HTTP/1.1\r\nHost: h\r\n\r\nGET /held/2 HTTP/1.1\r\nHost: h\r\n\r\n")) {
+            var first = held();
+            assertThat(HELD).isEmpty();
+            answer(first, "one.");
+            assertThat(readUntil(socket, "one.")).endsWith("one.");
+            answer(held(), "two.");
+            assertThat(readUntil(socket, "two.")).endsWith("two.");
+        }
+    }
+
+    @Test
+    void aMalformedRequestBehindASoundOneDoesNotCostItsAnswer() throws Exception {
+        try (var socket = connection("GET /held HTTP/1.1\r\nHost: h\r\n\r\nGET /bad HTTP/1.1\r\n\r\n")) {
+            answer(held(), "sound.");
+            var all = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertThat(all).startsWith("HTTP/1.1 200");
+            assertThat(all).endsWith("sound.");
+        }
+    }
 }
