--- a/src/main/java/wellwheel/pilot/Raft.java
+++ b/src/main/java/wellwheel/pilot/Raft.java
@@ -972,4 +972,18 @@
             }
         });
     }
+
+    record View(long term, boolean leads, boolean mayVote, long snapIndex, long snapTerm, long last, long lastTerm, long commit, long applied, List<List<String>> quorums) { }
+
+    synchronized View view() {
+        return new View(term, role == Role.LEADER, !amnesiac, snapIndex, snapTerm, lastIndex(), termAt(lastIndex()), commit, applied, List.of(voters));
+    }
+
+    synchronized byte[] entryAt(long index) {
+        return entries.get((int) (index - snapIndex - 1)).frame().pack();
+    }
+
+    synchronized byte[] snapshotNow() {
+        return snapState;
+    }
 }
--- /dev/null
+++ b/src/test/java/wellwheel/pilot/ControlPlay.java
@@ -0,0 +1,141 @@
+package wellwheel.pilot;
+
+import java.util.List;
+import java.util.Optional;
+import wellwheel.lantern.Codes;
+
+/** One run: machines, operators, mischief, and all checkers over it. */
+final class ControlPlay {
+    private static final long SECOND = ControlWorld.SECOND;
+    private static final long QUIET_US = 4_000_000;
+    private static final long ACK_US = 5_000_000;
+    private static final long REVOKE_US = 5_000_000;
+    private static final long ADMIT_US = 4_000_000;
+
+    final ControlWorld world;
+    final OrderHistory orders;
+    final Operators operators;
+    final Mischief mischief;
+    private final long spanUs;
+    private long stirredUs;
+    private int probes;
+
+    ControlPlay(ControlWorld.Shape shape, long seed, int operatorCount, long paceUs, int padding, long spanUs) {
+        this.spanUs = spanUs;
+        world = new ControlWorld(shape, seed);
+        orders = new OrderHistory(world.faults);
+        operators = new Operators(world, orders, operatorCount, paceUs, padding);
+        mischief = new Mischief(world);
+        mischief.onDisturbed(this::stirred);
+        world.eachSample(this::checkClaims);
+    }
+
+    static ControlPlay drawn(long seed) {
+        var luck = new java.util.Random(seed * 7919);
+        var heavy = luck.nextInt(6) == 0;
+        var shape = luck.nextInt(3) == 0 ? ControlWorld.Shape.five() : ControlWorld.Shape.three();
+        return new ControlPlay(shape, seed, 2 + luck.nextInt(3), heavy ? 800_000 : 150_000 + luck.nextInt(500_000), heavy ? 150_000 + luck.nextInt(250_000) : luck.nextInt(200), (30 + luck.nextInt(60)) * SECOND);
+    }
+
+    List<String> faults() {
+        return world.faults.all();
+    }
+
+    String story() {
+        var told = mischief.told();
+        return "mischief: " + told.subList(Math.max(0, told.size() - 12), told.size()) + "; " + orders.calls().size() + " calls, " + world.log.chain().size() + " changes, " + probes + " probes";
+    }
+
+    int probes() {
+        return probes;
+    }
+
+    void run() {
+        gather();
+        mischief.begin();
+        world.runFor(spanUs);
+        mischief.end();
+        settle();
+    }
+
+    void gather() {
+        for (var i = 0; i < 20 && !world.allVote(); i++) {
+            world.runFor(SECOND);
+        }
+        if (!world.allVote()) {
+            world.faults.add(world.nowUs(), "voters: not all vote 20 s after the first start");
+        }
+    }
+
+    void settle() {
+        for (var i = 0; i < 60 && !mischief.quiet(); i++) {
+            world.runFor(SECOND);
+        }
+        world.runFor(QUIET_US + ACK_US);
+        operators.stop();
+        world.runFor(12 * SECOND);
+        readsBack();
+        orders.check(world.log.chain());
+    }
+
+    private void readsBack() {
+        var newest = orders.confirmedNumber();
+        var found = new long[] {-1};
+        operators.read(number -> found[0] = number.orElse(-1L));
+        world.runFor(12 * SECOND);
+        if (found[0] < newest) {
+            world.faults.add(world.nowUs(), "orders: after calm " + found[0] + " reads back, " + newest + " was confirmed");
+        }
+    }
+
+    private void stirred() {
+        stirredUs = world.nowUs();
+        var atUs = stirredUs;
+        world.after(QUIET_US, () -> {
+            if (stirredUs == atUs) {
+                probes++;
+                probe(atUs, world.nowUs() + ACK_US);
+            }
+        });
+    }
+
+    private void probe(long calmUs, long dueUs) {
+        var done = new boolean[1];
+        probeOnce(done);
+        world.at(dueUs, () -> {
+            if (!done[0] && stirredUs == calmUs) {
+                world.faults.add(world.nowUs(), "voters: no proper order was confirmed within 5 s though calm since " + calmUs / 1e6 + " s; " + standing());
+            }
+            done[0] = true;
+        });
+    }
+
+    String standing() {
+        var text = new StringBuilder();
+        world.members().forEach(each -> text.append(each.ip).append(each.up ? each.frozen() ? " frozen" : "" : " down")
+            .append(each.up ? " " + each.raft().view() + " leader " + each.raft().leader() : "").append("; "));
+        return text.toString();
+    }
+
+    private void probeOnce(boolean[] done) {
+        if (done[0]) {
+            return;
+        }
+        operators.read(number -> number.ifPresentOrElse(each -> operators.order(operators.proper(each), code -> {
+            if (code.equals(Optional.of(Codes.FINE))) {
+                done[0] = true;
+            } else {
+                probeOnce(done);
+            }
+        }), () -> world.after(50_000, () -> probeOnce(done))));
+    }
+
+    private void checkClaims() {
+        var newest = orders.confirmedBefore(world.nowUs() - REVOKE_US);
+        world.machines("gallery").stream().filter(each -> each.up && !each.frozen()).forEach(each -> each.claim.ifPresent(claim -> {
+            if (claim.knowsCore() && claim.ageUs() < ADMIT_US && claim.charter().revision() < newest) {
+                world.faults.add(world.nowUs(), "claims: " + each.ip + " admits by " + claim.charter().revision() + ", " + newest + " was confirmed more than 5 s ago; claim of " + claim.pilot() + " is " + claim.ageUs() + " us old");
+            }
+        }));
+    }
+}
--- /dev/null
+++ b/src/test/java/wellwheel/pilot/ControlWorld.java
@@ -0,0 +1,584 @@
+package wellwheel.pilot;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import wellwheel.lantern.Claim;
+import wellwheel.lantern.Clock;
+import wellwheel.lantern.Frame;
+import wellwheel.lantern.Layout;
+import wellwheel.lantern.Options;
+import wellwheel.lantern.Wire;
+
+final class ControlWorld {
+    static final long SECOND = 1_000_000;
+    private static final long TICK_US = 50_000;
+    private static final long LEARN_US = 1_000_000;
+    private static final long SYNC_US = 700;
+    private static final long RESTART_US = 600_000;
+    private static final long LEAVE_POLL_US = 20_000;
+    private static final long LEAVE_MOST_US = 1_000_000;
+    private static final long END_US = 150_000;
+    private static final long QUEUED_BYTES_MOST = 32L << 20;
+
+    record Shape(int pilots, int survive, int galleries, int keepers) {
+        static Shape three() {
+            return new Shape(3, 1, 2, 2);
+        }
+
+        static Shape five() {
+            return new Shape(5, 2, 2, 3);
+        }
+    }
+
+    enum Order { TIMERS_FIRST, FRAMES_FIRST, CALLS_FIRST, MIXED }
+
+    enum Ways { BOTH, OUT, IN }
+
+    record Cut(Set<String> side, Ways ways, boolean holds, long breaksUs) {
+        boolean covers(String from, String to) {
+            return side.contains(from) != side.contains(to) && (ways == Ways.BOTH || (ways == Ways.OUT) == side.contains(from));
+        }
+    }
+
+    private record Event(long atUs, long turn, Runnable task) { }
+
+    private record Held(String stream, int life, Runnable task) { }
+
+    private record Sent(int fromLife, int toLife, byte[] bytes) { }
+
+    private static final class Link {
+        long freeUs;
+        long queuedBytes;
+        double bytesPerUs = 120;
+        final List<Sent> heldUp = new ArrayList<>();
+    }
+
+    final class Machine {
+        final String ip;
+        final String role;
+        final ModelDisk disk;
+        final double rate = 1 + (luck.nextDouble() - 0.5) * 0.002;
+        final long bootUs = luck.nextInt(1_000_000_000);
+        long wallSkewUs;
+        int life;
+        boolean up;
+        boolean powered;
+        boolean firstBoot;
+        boolean removed;
+        boolean leaving;
+        long frozenUntilUs;
+        Order thaw = Order.MIXED;
+        Optional<PilotNode> node = Optional.empty();
+        Optional<Claim> claim = Optional.empty();
+        private final List<Held> held = new ArrayList<>();
+
+        Machine(String ip, String role) {
+            this.ip = ip;
+            this.role = role;
+            disk = new ModelDisk(new ModelDisk.Host() {
+                @Override
+                public void after(long waitUs, Runnable task) {
+                    ControlWorld.this.after(waitUs, task);
+                }
+
+                @Override
+                public void call(int atLife, Runnable task) {
+                    awake(atLife, "disk", task);
+                }
+            }, luck, SYNC_US);
+        }
+
+        long steadyUs() {
+            return bootUs + (long) (nowUs * rate);
+        }
+
+        boolean frozen() {
+            return nowUs < frozenUntilUs;
+        }
+
+        Raft raft() {
+            return node.orElseThrow().raft();
+        }
+
+        boolean well() {
+            return up && !frozen() && !leaving && cuts.stream().noneMatch(cut -> cut.side().contains(ip));
+        }
+
+        void awake(int atLife, String stream, Runnable task) {
+            if (!up || life != atLife) {
+                return;
+            }
+            if (frozen()) {
+                held.add(new Held(stream, atLife, task));
+                return;
+            }
+            guarded(this, task);
+        }
+
+        private void thawNow() {
+            if (frozen()) {
+                return;
+            }
+            var tasks = List.copyOf(held);
+            held.clear();
+            sorted(tasks, thaw).forEach(each -> awake(each.life(), each.stream(), each.task()));
+        }
+
+        void start() {
+            life++;
+            up = true;
+            powered = true;
+            leaving = false;
+            var clock = new ModelClock(this, life);
+            var wire = new ModelWire(this, life);
+            var atLife = life;
+            if (role.equals("pilot")) {
+                guarded(this, () -> {
+                    node = Optional.of(new PilotNode(options(this), clock, wire, disk.bind(atLife), luck.nextLong()));
+                    node.get().onBroken(why -> faults.add(nowUs, ip + " is broken: " + why));
+                });
+            } else {
+                var seeds = seeds(this);
+                claim = Optional.of(new Claim(clock, wire, ip + "#" + life, seeds, () -> Frame.of("claim").with("role", role).with("zone", "north").with("life", "" + atLife), () -> { }));
+            }
+            firstBoot = false;
+            beat(life, TICK_US, this::tick);
+            beat(life, LEARN_US, () -> node.ifPresent(PilotNode::learn));
+        }
+
+        private void beat(int atLife, long everyUs, Runnable task) {
+            after((long) (everyUs / rate), () -> awake(atLife, "timer", () -> {
+                beat(atLife, everyUs, task);
+                task.run();
+            }));
+        }
+
+        private void tick() {
+            node.ifPresent(PilotNode::tick);
+            claim.ifPresent(Claim::tick);
+            claim.filter(each -> role.equals("keeper")).ifPresent(this::tellLevel);
+        }
+
+        private void tellLevel(Claim each) {
+            var id = ip + "#" + life;
+            each.layout().lines().stream().filter(line -> line.joining().equals(id)).limit(8).forEach(line ->
+                transmit(this, life, each.pilot(), Frame.of("line.level").with("line", line.number()).with("node", id).with("epoch", line.epoch())));
+        }
+
+        private void hear(String from, Frame frame) {
+            node.ifPresent(each -> each.onFrame(from, frame));
+            claim.ifPresent(each -> each.onFrame(from, frame));
+        }
+
+        private void hearDown(String peer) {
+            node.ifPresent(each -> each.onDown(peer));
+            claim.ifPresent(each -> each.onDown(peer));
+        }
+
+        private void end() {
+            up = false;
+            life++;
+            frozenUntilUs = 0;
+            held.clear();
+            node = Optional.empty();
+            claim = Optional.empty();
+        }
+    }
+
+    private final class ModelClock implements Clock {
+        private final Machine machine;
+        private final int life;
+
+        ModelClock(Machine machine, int life) {
+            this.machine = machine;
+            this.life = life;
+        }
+
+        @Override
+        public long steadyUs() {
+            return machine.steadyUs();
+        }
+
+        @Override
+        public long wallUs() {
+            return nowUs + 1_700_000_000_000_000L + machine.wallSkewUs;
+        }
+
+        @Override
+        public Schedule after(long waitUs, Runnable task) {
+            var live = new boolean[] {true};
+            ControlWorld.this.after((long) Math.max(1, waitUs / machine.rate), () -> machine.awake(life, "timer", () -> {
+                if (live[0]) {
+                    task.run();
+                }
+            }));
+            return () -> live[0] = false;
+        }
+    }
+
+    private final class ModelWire implements Wire {
+        private final Machine machine;
+        private final int life;
+
+        ModelWire(Machine machine, int life) {
+            this.machine = machine;
+            this.life = life;
+        }
+
+        @Override
+        public void send(String peerIp, Frame frame) {
+            transmit(machine, life, peerIp, frame);
+        }
+    }
+
+    final Random luck;
+    final Faults faults = new Faults();
+    final Shape shape;
+    final LogHistory log;
+    private final Map<String, Machine> machines = new LinkedHashMap<>();
+    private final Map<String, Link> links = new HashMap<>();
+    private final Set<Cut> cuts = new LinkedHashSet<>();
+    private final Map<String, Long> bytesTo = new HashMap<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.atUs() != b.atUs() ? Long.compare(a.atUs(), b.atUs()) : Long.compare(a.turn(), b.turn()));
+    private long nowUs = SECOND;
+    private long turn;
+    private long biggestFrame;
+    private Runnable sample = () -> { };
+
+    ControlWorld(Shape shape, long seed) {
+        this.shape = shape;
+        luck = new Random(seed);
+        log = new LogHistory(faults);
+        for (var i = 0; i < shape.pilots(); i++) {
+            add("pilot").firstBoot = true;
+        }
+        for (var i = 0; i < shape.galleries() + shape.keepers(); i++) {
+            add(i < shape.galleries() ? "gallery" : "keeper");
+        }
+        machines.values().forEach(machine -> after(1 + luck.nextInt(400_000), machine::start));
+        after(100_000, this::sampleAgain);
+    }
+
+    private Machine add(String role) {
+        var machine = new Machine("10.0.0." + (machines.size() + 1), role);
+        machines.put(machine.ip, machine);
+        return machine;
+    }
+
+    private void sampleAgain() {
+        sample.run();
+        after(100_000, this::sampleAgain);
+    }
+
+    void eachSample(Runnable task) {
+        var before = sample;
+        sample = () -> {
+            before.run();
+            task.run();
+        };
+    }
+
+    private List<String> seeds(Machine machine) {
+        var current = new ArrayList<>(members().stream().map(each -> each.ip).filter(ip -> machine.firstBoot || !ip.equals(machine.ip) || shape.pilots() <= 3).toList());
+        if (!machine.firstBoot) {
+            java.util.Collections.shuffle(current, luck);
+        }
+        return List.copyOf(current.subList(0, Math.min(3, current.size())));
+    }
+
+    private Options options(Machine machine) {
+        var seeds = seeds(machine).stream().map(ip -> "\"" + ip + ":8741\"").toList();
+        try {
+            return Options.read("{\"NodeName\":\"core-" + machine.ip + "\",\"Ip\":\"" + machine.ip + "\",\"Zone\":\"north\",\"ListenOn\":{\"Control\":\"" + machine.ip + ":8741\"},"
+                + "\"InternalPorts\":[7100,7115],\"SeedNodes\":" + seeds + ",\"FirstBoot\":" + machine.firstBoot + ",\"Survive\":{\"Machines\":" + shape.survive() + "}}");
+        } catch (Options.Unusable e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void guarded(Machine machine, Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            var places = List.of(e.getStackTrace()).subList(0, Math.min(4, e.getStackTrace().length));
+            faults.add(nowUs, machine.ip + " throws " + e + " at " + places);
+        }
+        if (machine.up && machine.node.isPresent()) {
+            log.observe(nowUs, this, machine);
+        }
+    }
+
+    private List<Held> sorted(List<Held> tasks, Order order) {
+        if (order == Order.MIXED) {
+            return mixed(tasks);
+        }
+        var first = order == Order.TIMERS_FIRST ? "timer" : order == Order.FRAMES_FIRST ? "link" : "call";
+        var sorted = new ArrayList<>(tasks.stream().filter(each -> each.stream().startsWith(first)).toList());
+        sorted.addAll(tasks.stream().filter(each -> !each.stream().startsWith(first)).toList());
+        return sorted;
+    }
+
+    private List<Held> mixed(List<Held> tasks) {
+        var streams = new LinkedHashMap<String, ArrayList<Held>>();
+        tasks.forEach(each -> streams.computeIfAbsent(each.stream(), key -> new ArrayList<>()).add(each));
+        var names = new ArrayList<>(streams.keySet());
+        var out = new ArrayList<Held>();
+        while (!names.isEmpty()) {
+            var name = names.get(luck.nextInt(names.size()));
+            var count = Math.min(streams.get(name).size(), 1 + luck.nextInt(20));
+            var part = streams.get(name).subList(0, count);
+            out.addAll(part);
+            part.clear();
+            names.removeIf(each -> streams.get(each).isEmpty());
+        }
+        return out;
+    }
+
+    private Link link(String from, String to) {
+        return links.computeIfAbsent(from + ">" + to, key -> new Link());
+    }
+
+    private Optional<Cut> cutOf(String from, String to) {
+        return cuts.stream().filter(cut -> cut.covers(from, to)).findFirst();
+    }
+
+    private void transmit(Machine from, int life, String peerIp, Frame frame) {
+        if (peerIp.isEmpty() || from.life != life) {
+            return;
+        }
+        var bytes = frame.pack();
+        if (peerIp.equals(from.ip)) {
+            after(1, () -> from.awake(life, "link:" + peerIp, () -> from.hear(peerIp, Frame.unpack(bytes))));
+            return;
+        }
+        biggestFrame = Math.max(biggestFrame, bytes.length);
+        var peer = Optional.ofNullable(machines.get(peerIp)).filter(each -> each.powered);
+        if (peer.isEmpty() || !peer.get().up) {
+            tellDown(from, life, peerIp, frame, peer.isEmpty() ? 400_000 : 2_000);
+            return;
+        }
+        var cut = cutOf(from.ip, peerIp);
+        if (cut.isEmpty()) {
+            carry(from, peer.get(), new Sent(life, peer.get().life, bytes), frame);
+        } else if (cut.get().holds() && nowUs < cut.get().breaksUs()) {
+            link(from.ip, peerIp).heldUp.add(new Sent(life, peer.get().life, bytes));
+        } else {
+            tellDown(from, life, peerIp, frame, 400_000 + luck.nextInt(600_000));
+        }
+    }
+
+    private void tellDown(Machine from, int life, String peerIp, Frame frame, long waitUs) {
+        after(waitUs, () -> from.awake(life, "down", () -> {
+            from.hearDown(peerIp);
+            from.node.ifPresent(each -> each.onUnsent(peerIp, frame));
+        }));
+    }
+
+    private long delayUs() {
+        return 300 + luck.nextInt(900) + (luck.nextInt(400) == 0 ? luck.nextInt(30_000) : 0);
+    }
+
+    private void carry(Machine from, Machine to, Sent sent, Frame frame) {
+        var link = link(from.ip, to.ip);
+        if (link.queuedBytes > QUEUED_BYTES_MOST) {
+            tellDown(from, sent.fromLife(), to.ip, frame, 1_000);
+            return;
+        }
+        link.queuedBytes += sent.bytes().length;
+        bytesTo.merge(to.ip, (long) sent.bytes().length, Long::sum);
+        link.freeUs = Math.max(link.freeUs, nowUs) + (long) (sent.bytes().length / link.bytesPerUs);
+        var atUs = Math.max(link.freeUs, nowUs + delayUs());
+        link.freeUs = Math.max(link.freeUs, atUs - 300);
+        at(atUs, () -> {
+            link.queuedBytes -= sent.bytes().length;
+            arrive(from, to, sent);
+        });
+    }
+
+    private void arrive(Machine from, Machine to, Sent sent) {
+        var cut = cutOf(from.ip, to.ip);
+        if (cut.isPresent()) {
+            if (cut.get().holds()) {
+                link(from.ip, to.ip).heldUp.add(sent);
+            }
+            return;
+        }
+        to.awake(sent.toLife(), "link:" + from.ip, () -> to.hear(from.ip, Frame.unpack(sent.bytes())));
+    }
+
+    void at(long atUs, Runnable task) {
+        events.add(new Event(Math.max(atUs, nowUs), turn++, task));
+    }
+
+    void after(long waitUs, Runnable task) {
+        at(nowUs + waitUs, task);
+    }
+
+    void runFor(long spanUs) {
+        var untilUs = nowUs + spanUs;
+        while (!events.isEmpty() && events.peek().atUs() <= untilUs && faults.none()) {
+            var event = events.poll();
+            nowUs = event.atUs();
+            event.task().run();
+        }
+        nowUs = untilUs;
+    }
+
+    long nowUs() {
+        return nowUs;
+    }
+
+    long biggestFrame() {
+        return biggestFrame;
+    }
+
+    long bytesTo(Machine machine) {
+        return bytesTo.getOrDefault(machine.ip, 0L);
+    }
+
+    List<Machine> machines(String role) {
+        return machines.values().stream().filter(each -> each.role.equals(role)).toList();
+    }
+
+    Machine machine(String ip) {
+        return machines.get(ip);
+    }
+
+    List<Machine> members() {
+        return machines("pilot").stream().filter(each -> !each.removed).toList();
+    }
+
+    Optional<Machine> leader() {
+        return members().stream().filter(each -> each.well() && each.raft().leadsFreshly()).findFirst();
+    }
+
+    void ask(Machine machine, Consumer<PilotNode> call) {
+        var life = machine.life;
+        after(200 + luck.nextInt(400), () -> machine.awake(life, "call", () -> machine.node.ifPresent(call)));
+    }
+
+    void freeze(Machine machine, long spanUs, Order thaw) {
+        machine.frozenUntilUs = nowUs + spanUs;
+        machine.thaw = thaw;
+        at(machine.frozenUntilUs, machine::thawNow);
+    }
+
+    Cut cut(List<Machine> side, Ways ways, boolean holds, long breaksAfterUs) {
+        var ips = new LinkedHashSet<>(side.stream().map(each -> each.ip).toList());
+        var cut = new Cut(ips, ways, holds, nowUs + breaksAfterUs);
+        cuts.add(cut);
+        return cut;
+    }
+
+    void join(Cut cut) {
+        cuts.remove(cut);
+        links.forEach((key, link) -> {
+            var ends = key.split(">");
+            if (!link.heldUp.isEmpty() && cutOf(ends[0], ends[1]).isEmpty()) {
+                release(machines.get(ends[0]), machines.get(ends[1]), link);
+            }
+        });
+    }
+
+    private void release(Machine from, Machine to, Link link) {
+        var sent = List.copyOf(link.heldUp);
+        link.heldUp.clear();
+        var otherConnection = luck.nextBoolean() ? luck.nextInt(50_000) : 0;
+        var atUs = nowUs + delayUs() + otherConnection;
+        if (otherConnection == 0) {
+            link.freeUs = Math.max(link.freeUs, atUs);
+        }
+        at(atUs, () -> sent.forEach(each -> arrive(from, to, each)));
+    }
+
+    void kill(Machine machine) {
+        machine.disk.processDies();
+        machine.end();
+    }
+
+    void killAndRestart(Machine machine, long downUs) {
+        kill(machine);
+        after(downUs, () -> startAgain(machine));
+    }
+
+    void powerOff(Machine machine) {
+        machine.disk.powerDies();
+        machine.end();
+        machine.powered = false;
+        links.forEach((key, link) -> {
+            if (key.startsWith(machine.ip + ">")) {
+                link.heldUp.clear();
+            }
+        });
+    }
+
+    void wipe(Machine machine) {
+        powerOff(machine);
+        machine.disk.wipe();
+    }
+
+    void startAgain(Machine machine) {
+        if (!machine.up && !machine.removed) {
+            machine.start();
+        }
+    }
+
+    void removeForGood(Machine machine) {
+        if (machine.up) {
+            powerOff(machine);
+        }
+        machine.powered = false;
+        machine.removed = true;
+    }
+
+    Machine startEmpty(String role) {
+        var machine = add(role);
+        machine.start();
+        return machine;
+    }
+
+    void terminate(Machine machine, Runnable ended) {
+        machine.leaving = true;
+        var life = machine.life;
+        pollLeave(machine, life, nowUs, ended);
+    }
+
+    private void pollLeave(Machine machine, int life, long sinceUs, Runnable ended) {
+        after(LEAVE_POLL_US, () -> machine.awake(life, "timer", () -> {
+            if (machine.raft().leave() || nowUs - sinceUs > LEAVE_MOST_US) {
+                after(END_US, () -> {
+                    if (machine.up && machine.life == life) {
+                        removeForGood(machine);
+                    }
+                    ended.run();
+                });
+            } else {
+                pollLeave(machine, life, sinceUs, ended);
+            }
+        }));
+    }
+
+    void slowLinks(Machine machine, double bytesPerUs) {
+        machines.values().stream().filter(each -> each != machine).forEach(each -> {
+            link(each.ip, machine.ip).bytesPerUs = bytesPerUs;
+            link(machine.ip, each.ip).bytesPerUs = bytesPerUs;
+        });
+    }
+
+    void skew(Machine machine, long stepUs) {
+        machine.wallSkewUs += stepUs;
+    }
+
+    boolean allVote() {
+        return leader().map(each -> each.raft().voters().size() == shape.pilots()).orElse(false);
+    }
+}
--- /dev/null
+++ b/src/test/java/wellwheel/pilot/Mischief.java
@@ -0,0 +1,281 @@
+package wellwheel.pilot;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import wellwheel.pilot.ControlWorld.Machine;
+
+/** Losses drawn from a seed, at most n at once as the rules count them, and now and then all power at once. */
+final class Mischief {
+    static final long CATCH_UP_US = 4_100_000;
+    private static final long SECOND = ControlWorld.SECOND;
+
+    private final ControlWorld world;
+    private final Random luck;
+    private final Map<Machine, Long> lost = new HashMap<>();
+    private final List<Runnable> disturbed = new ArrayList<>();
+    private final List<String> told = new ArrayList<>();
+    private boolean on;
+    private boolean dark;
+    private int planned;
+
+    Mischief(ControlWorld world) {
+        this.world = world;
+        luck = new Random(world.luck.nextLong());
+    }
+
+    void onDisturbed(Runnable task) {
+        disturbed.add(task);
+    }
+
+    List<String> told() {
+        return told;
+    }
+
+    void begin() {
+        on = true;
+        next();
+        smaller();
+    }
+
+    void end() {
+        on = false;
+    }
+
+    int lostNow() {
+        lost.values().removeIf(untilUs -> untilUs <= world.nowUs());
+        return lost.size();
+    }
+
+    boolean quiet() {
+        return lostNow() == 0 && planned == 0 && !dark;
+    }
+
+    private void tell(String what) {
+        told.add(String.format("%.3f %s", world.nowUs() / 1e6, what));
+        disturbed.forEach(Runnable::run);
+    }
+
+    private void lose(Machine machine) {
+        lost.put(machine, Long.MAX_VALUE);
+    }
+
+    private void found(Machine machine) {
+        tell("back " + machine.ip);
+        lost.put(machine, world.nowUs() + CATCH_UP_US);
+        world.after(CATCH_UP_US + (luck.nextBoolean() ? 1 : luck.nextInt(6_000_000)), this::next);
+    }
+
+    private long spanUs() {
+        return switch (luck.nextInt(4)) {
+            case 0 -> 100_000 + luck.nextInt(2_000_000);
+            case 1 -> 20 * SECOND;
+            default -> 1_000_000 + luck.nextInt(19_000_000);
+        };
+    }
+
+    private Optional<Machine> victim() {
+        var free = world.members().stream().filter(each -> each.up && !each.frozen() && !each.leaving && !lost.containsKey(each) && each.life > 0).toList();
+        if (free.isEmpty()) {
+            return Optional.empty();
+        }
+        var leader = free.stream().filter(each -> each.raft().leads()).findFirst();
+        return leader.isPresent() && luck.nextInt(2) == 0 ? leader : Optional.of(free.get(luck.nextInt(free.size())));
+    }
+
+    private void next() {
+        if (!on || dark) {
+            return;
+        }
+        while (lostNow() < world.shape.survive()) {
+            var victim = victim();
+            if (victim.isEmpty()) {
+                world.after(SECOND, this::next);
+                return;
+            }
+            strike(victim.get());
+            if (luck.nextInt(3) > 0) {
+                world.after(luck.nextInt(8_000_000), this::next);
+                return;
+            }
+        }
+    }
+
+    private void strike(Machine machine) {
+        lose(machine);
+        switch (luck.nextInt(12)) {
+            case 0, 1, 2 -> freeze(machine);
+            case 3, 4, 5 -> cut(machine);
+            case 6 -> kill(machine);
+            case 7 -> powerLoss(machine);
+            case 8 -> wiped(machine);
+            case 9 -> replaced(machine);
+            case 10 -> slowLink(machine);
+            default -> slowDisk(machine);
+        }
+    }
+
+    private void freeze(Machine machine) {
+        var spanUs = spanUs();
+        var order = ControlWorld.Order.values()[luck.nextInt(4)];
+        tell("freeze " + machine.ip + " for " + spanUs + " us, then " + order);
+        world.freeze(machine, spanUs, order);
+        world.after(spanUs, () -> found(machine));
+    }
+
+    private void cut(Machine machine) {
+        var ways = ControlWorld.Ways.values()[luck.nextInt(3)];
+        var holds = luck.nextBoolean();
+        var spanUs = spanUs();
+        var cut = world.cut(List.of(machine), ways, holds, luck.nextBoolean() ? spanUs : 900_000);
+        tell("cut " + machine.ip + " " + ways + (holds ? " holding" : " dropping") + " for " + spanUs + " us");
+        world.after(spanUs, () -> {
+            world.join(cut);
+            found(machine);
+        });
+    }
+
+    private void kill(Machine machine) {
+        var spanUs = luck.nextBoolean() ? 300_000 + luck.nextInt(900_000) : spanUs();
+        tell("kill " + machine.ip + " for " + spanUs + " us");
+        world.kill(machine);
+        backAfter(machine, spanUs);
+    }
+
+    private void backAfter(Machine machine, long spanUs) {
+        world.after(spanUs, () -> {
+            world.startAgain(machine);
+            found(machine);
+        });
+    }
+
+    private void powerLoss(Machine machine) {
+        var spanUs = spanUs();
+        tell("power loss of " + machine.ip + " for " + spanUs + " us");
+        world.powerOff(machine);
+        backAfter(machine, spanUs);
+    }
+
+    private void wiped(Machine machine) {
+        var spanUs = spanUs();
+        tell("disk of " + machine.ip + " lost, back in " + spanUs + " us");
+        world.wipe(machine);
+        backAfter(machine, spanUs);
+    }
+
+    private void replaced(Machine machine) {
+        var spanUs = luck.nextInt(8_000_000);
+        tell(machine.ip + " gone for good, another in " + spanUs + " us");
+        world.removeForGood(machine);
+        world.after(spanUs, () -> {
+            var fresh = world.startEmpty("pilot");
+            tell(fresh.ip + " stands for " + machine.ip);
+            found(machine);
+        });
+    }
+
+    private void slowLink(Machine machine) {
+        var spanUs = spanUs();
+        tell("slow link to " + machine.ip + " for " + spanUs + " us");
+        world.slowLinks(machine, luck.nextBoolean() ? 0.02 : 1);
+        world.after(spanUs, () -> {
+            world.slowLinks(machine, 120);
+            found(machine);
+        });
+    }
+
+    private void slowDisk(Machine machine) {
+        var spanUs = spanUs();
+        tell("slow disk of " + machine.ip + " for " + spanUs + " us");
+        machine.disk.slow(1 + luck.nextInt(3000), luck.nextBoolean() ? 1 : 400);
+        world.after(spanUs, () -> {
+            machine.disk.slow(1, 400);
+            found(machine);
+        });
+    }
+
+    private void smaller() {
+        if (!on) {
+            return;
+        }
+        world.after(1_000_000 + luck.nextInt(20_000_000), this::smaller);
+        switch (luck.nextInt(6)) {
+            case 0 -> plannedReplacement();
+            case 1, 2 -> holderTrouble();
+            case 3, 4 -> {
+                var members = world.members();
+                world.skew(members.get(luck.nextInt(members.size())), luck.nextInt(20_000_000) - 10_000_000);
+            }
+            default -> allPower();
+        }
+    }
+
+    private void holderTrouble() {
+        var holders = new ArrayList<>(world.machines("gallery"));
+        holders.addAll(world.machines("keeper"));
+        var holder = holders.get(luck.nextInt(holders.size()));
+        if (luck.nextBoolean()) {
+            world.freeze(holder, spanUs(), ControlWorld.Order.values()[luck.nextInt(4)]);
+        } else {
+            var cut = world.cut(List.of(holder), ControlWorld.Ways.values()[luck.nextInt(3)], luck.nextBoolean(), 900_000);
+            world.after(spanUs(), () -> world.join(cut));
+        }
+    }
+
+    private void plannedReplacement() {
+        if (planned > 0 || dark) {
+            return;
+        }
+        planned++;
+        var fresh = world.startEmpty("pilot");
+        tell(fresh.ip + " comes, planned");
+        world.after(CATCH_UP_US + luck.nextInt(4_000_000), () -> {
+            var old = victim().filter(each -> each != fresh && each.up);
+            if (old.isEmpty() || dark) {
+                world.after(SECOND, () -> planned--);
+                return;
+            }
+            tell("term " + old.get().ip);
+            world.terminate(old.get(), () -> {
+                planned--;
+                tell("ended " + old.get().ip);
+                lost.remove(old.get());
+                if (luck.nextBoolean()) {
+                    next();
+                }
+            });
+        });
+    }
+
+    /** The closing fault: all power or all processes, and up to n disks. */
+    private void allPower() {
+        if (lostNow() > 0 || planned > 0 || dark || luck.nextInt(3) > 0) {
+            return;
+        }
+        dark = true;
+        var all = new ArrayList<>(world.members().stream().filter(each -> each.up).toList());
+        java.util.Collections.shuffle(all, luck);
+        var wiped = luck.nextBoolean() ? luck.nextInt(world.shape.survive() + 1) : 0;
+        var killed = wiped == 0 && luck.nextBoolean();
+        tell(killed ? "all killed" : "all lose power, " + wiped + " their disks");
+        for (var i = 0; i < all.size(); i++) {
+            var machine = all.get(i);
+            if (killed) {
+                world.kill(machine);
+            } else if (i < wiped) {
+                world.wipe(machine);
+            } else {
+                world.powerOff(machine);
+            }
+            world.after(400_000 + luck.nextInt(1_500_000), () -> world.startAgain(machine));
+        }
+        world.after(2_000_000, () -> {
+            dark = false;
+            tell("all back");
+            world.after(CATCH_UP_US + luck.nextInt(5_000_000), this::next);
+        });
+    }
+}
