--- a/src/test/java/wellwheel/pilot/ControlPlay.java
+++ b/src/test/java/wellwheel/pilot/ControlPlay.java
@@ -1,5 +1,6 @@
 package wellwheel.pilot;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import wellwheel.lantern.Codes;
@@ -25,7 +26,7 @@
         world = new ControlWorld(shape, seed);
         orders = new OrderHistory(world.faults);
         operators = new Operators(world, orders, operatorCount, paceUs, padding);
-        mischief = new Mischief(world);
+        mischief = new Mischief(world, operators);
         mischief.onDisturbed(this::stirred);
         mischief.onReturn(machine -> operators.crowd(machine.ip));
         operators.calm(() -> stirredUs + QUIET_US <= world.nowUs());
@@ -53,6 +54,46 @@
         return "mischief: " + told.subList(Math.max(0, told.size() - 12), told.size()) + "; " + orders.calls().size() + " calls, " + world.log.chain().size() + " changes, " + probes + " probes";
     }
 
+    static ControlPlay still(ControlWorld.Shape shape, long seed, int padding) {
+        var play = new ControlPlay(shape, seed, 0, SECOND, padding, 0);
+        play.gather();
+        return play;
+    }
+
+    /** A proper order sent until it is confirmed; empty if none was within the time. */
+    Optional<OrderHistory.Order> change(long withinUs) {
+        var found = new ArrayList<OrderHistory.Order>();
+        changeOnce(found, world.nowUs() + withinUs);
+        for (var untilUs = world.nowUs() + withinUs; found.isEmpty() && world.nowUs() < untilUs;) {
+            world.runFor(2_000);
+        }
+        return found.stream().findFirst();
+    }
+
+    private void changeOnce(List<OrderHistory.Order> found, long untilUs) {
+        if (world.nowUs() >= untilUs || !found.isEmpty()) {
+            return;
+        }
+        operators.read(number -> number.ifPresentOrElse(each -> {
+            var order = operators.proper(each);
+            operators.order(order, code -> {
+                if (code.equals(Optional.of(Codes.FINE))) {
+                    found.add(order);
+                } else {
+                    changeOnce(found, untilUs);
+                }
+            });
+        }, () -> world.after(20_000, () -> changeOnce(found, untilUs))));
+    }
+
+    List<String> verdict() {
+        world.runFor(3 * SECOND);
+        if (world.faults.none()) {
+            orders.check(world.log.chain());
+        }
+        return world.faults.all();
+    }
+
     int probes() {
         return probes;
     }
--- a/src/test/java/wellwheel/pilot/ControlWorld.java
+++ b/src/test/java/wellwheel/pilot/ControlWorld.java
@@ -45,7 +45,7 @@
         }
     }
 
-    enum Order { TIMERS_FIRST, FRAMES_FIRST, CALLS_FIRST, MIXED }
+    enum Order { TIMERS_FIRST, FRAMES_FIRST, CALLS_FIRST, MIXED, BY_STREAM }
 
     enum Ways { BOTH, OUT, IN }
 
@@ -347,8 +347,8 @@
     }
 
     private List<Held> sorted(List<Held> tasks, Order order) {
-        if (order == Order.MIXED) {
-            return mixed(tasks);
+        if (order == Order.MIXED || order == Order.BY_STREAM) {
+            return mixed(tasks, order == Order.MIXED ? 20 : tasks.size());
         }
         var first = order == Order.TIMERS_FIRST ? "timer" : order == Order.FRAMES_FIRST ? "link" : "call";
         var sorted = new ArrayList<>(tasks.stream().filter(each -> each.stream().startsWith(first)).toList());
@@ -356,14 +356,14 @@
         return sorted;
     }
 
-    private List<Held> mixed(List<Held> tasks) {
+    private List<Held> mixed(List<Held> tasks, int most) {
         var streams = new LinkedHashMap<String, ArrayList<Held>>();
         tasks.forEach(each -> streams.computeIfAbsent(each.stream(), key -> new ArrayList<>()).add(each));
         var names = new ArrayList<>(streams.keySet());
         var out = new ArrayList<Held>();
         while (!names.isEmpty()) {
             var name = names.get(luck.nextInt(names.size()));
-            var count = Math.min(streams.get(name).size(), 1 + luck.nextInt(20));
+            var count = Math.min(streams.get(name).size(), most == tasks.size() ? most : 1 + luck.nextInt(most));
             var part = streams.get(name).subList(0, count);
             out.addAll(part);
             part.clear();
--- a/src/test/java/wellwheel/pilot/Mischief.java
+++ b/src/test/java/wellwheel/pilot/Mischief.java
@@ -15,6 +15,7 @@
     private static final long SECOND = ControlWorld.SECOND;
 
     private final ControlWorld world;
+    private final Operators moments;
     private final Random luck;
     private final Map<Machine, Long> lost = new HashMap<>();
     private final List<Runnable> disturbed = new ArrayList<>();
@@ -24,8 +25,9 @@
     private boolean dark;
     private int planned;
 
-    Mischief(ControlWorld world) {
+    Mischief(ControlWorld world, Operators moments) {
         this.world = world;
+        this.moments = moments;
         luck = new Random(world.luck.nextLong());
     }
 
@@ -103,7 +105,8 @@
                 world.after(SECOND, this::next);
                 return;
             }
-            strike(victim.get());
+            lose(victim.get());
+            strikeSometime(victim.get());
             if (luck.nextInt(3) > 0) {
                 world.after(luck.nextInt(8_000_000), this::next);
                 return;
@@ -111,8 +114,33 @@
         }
     }
 
+    /** Now, or in the midst of the next call, or right after the next acknowledgement. */
+    private void strikeSometime(Machine machine) {
+        var struck = new boolean[1];
+        Runnable once = () -> {
+            if (!struck[0]) {
+                struck[0] = true;
+                strikeIfThere(machine);
+            }
+        };
+        switch (luck.nextInt(3)) {
+            case 0 -> once.run();
+            case 1 -> moments.onCall(() -> world.after(luck.nextInt(3_000), once));
+            default -> moments.onAcknowledged(once);
+        }
+        world.after(2 * SECOND, once);
+    }
+
+    private void strikeIfThere(Machine machine) {
+        if (machine.up && !machine.leaving && !machine.removed && !dark) {
+            strike(machine);
+        } else {
+            lost.remove(machine);
+            world.after(SECOND, this::next);
+        }
+    }
+
     private void strike(Machine machine) {
-        lose(machine);
         switch (luck.nextInt(14)) {
             case 0, 1, 2 -> freeze(machine);
             case 12, 13 -> twisted(machine);
@@ -128,7 +156,7 @@
 
     private void freeze(Machine machine) {
         var spanUs = spanUs();
-        var order = ControlWorld.Order.values()[luck.nextInt(4)];
+        var order = ControlWorld.Order.values()[luck.nextInt(5)];
         tell("freeze " + machine.ip + " for " + spanUs + " us, then " + order);
         world.freeze(machine, spanUs, order);
         world.after(spanUs, () -> found(machine));
@@ -146,18 +174,23 @@
         });
     }
 
-    /** Answers held up for less than a leader's patience, then nothing of its own goes out. */
+    /** Held up both ways for less than a leader's patience, let through for a moment, then cut off again. */
     private void twisted(Machine machine) {
         var heldUs = 200_000 + luck.nextInt(400_000);
         var spanUs = spanUs();
-        tell("cut " + machine.ip + " IN holding for " + heldUs + " us, then OUT for " + spanUs + " us");
-        var first = world.cut(List.of(machine), ControlWorld.Ways.IN, true, heldUs);
+        var ways = luck.nextBoolean() ? ControlWorld.Ways.OUT : ControlWorld.Ways.BOTH;
+        tell("hold up " + machine.ip + " for " + heldUs + " us, then cut " + ways + " for " + spanUs + " us");
+        var first = world.cut(List.of(machine), ControlWorld.Ways.BOTH, true, heldUs);
         world.after(heldUs, () -> {
-            var then = world.cut(List.of(machine), ControlWorld.Ways.OUT, luck.nextBoolean(), spanUs);
+            var out = world.cut(List.of(machine), ControlWorld.Ways.OUT, luck.nextBoolean(), spanUs);
             world.join(first);
-            world.after(spanUs, () -> {
-                world.join(then);
-                found(machine);
+            world.after(luck.nextInt(4_000), () -> {
+                var then = world.cut(List.of(machine), ways, luck.nextBoolean(), spanUs);
+                world.join(out);
+                world.after(spanUs, () -> {
+                    world.join(then);
+                    found(machine);
+                });
             });
         });
     }
@@ -242,7 +275,7 @@
         holders.addAll(world.machines("keeper"));
         var holder = holders.get(luck.nextInt(holders.size()));
         if (luck.nextBoolean()) {
-            world.freeze(holder, spanUs(), ControlWorld.Order.values()[luck.nextInt(4)]);
+            world.freeze(holder, spanUs(), ControlWorld.Order.values()[luck.nextInt(5)]);
         } else {
             var cut = world.cut(List.of(holder), ControlWorld.Ways.values()[luck.nextInt(3)], luck.nextBoolean(), 900_000);
             world.after(spanUs(), () -> world.join(cut));
--- a/src/test/java/wellwheel/pilot/Operators.java
+++ b/src/test/java/wellwheel/pilot/Operators.java
@@ -30,6 +30,8 @@
     private final List<Operator> operators = new ArrayList<>();
     private final ArrayDeque<OrderHistory.Order> unclear = new ArrayDeque<>();
     private final List<OrderHistory.Order> confirmed = new ArrayList<>();
+    private final List<Runnable> onCall = new ArrayList<>();
+    private final List<Runnable> onAcknowledged = new ArrayList<>();
     private final int padding;
     private long paceUs;
     private long nonce;
@@ -180,6 +182,20 @@
         return known.get((known.indexOf(last) + 1) % known.size());
     }
 
+    void onCall(Runnable once) {
+        onCall.add(once);
+    }
+
+    void onAcknowledged(Runnable once) {
+        onAcknowledged.add(once);
+    }
+
+    private static void runAll(List<Runnable> all) {
+        var now = List.copyOf(all);
+        all.clear();
+        now.forEach(Runnable::run);
+    }
+
     /** In calm no answer is lost on its way. */
     void calm(BooleanSupplier newCalm) {
         calm = newCalm;
@@ -249,6 +265,7 @@
 
     private OrderHistory.Call call(Optional<OrderHistory.Order> order, String pilot, Consumer<Replied> done) {
         var call = history.begins(order, pilot, world.nowUs());
+        order.ifPresent(each -> runAll(onCall));
         var machine = world.machine(pilot);
         if (!machine.up && machine.powered) {
             world.after(2_000, () -> done.accept(new Replied(call, "")));
@@ -271,5 +288,8 @@
             call.number = JsonParser.parseString(new String(reply.body(), StandardCharsets.UTF_8)).getAsJsonObject().get("Revision").getAsLong();
         }
         history.ends(call, world.nowUs(), reply.code());
+        if (call.order.isPresent() && call.is(Codes.FINE)) {
+            runAll(onAcknowledged);
+        }
     }
 }
--- a/src/test/java/wellwheel/pilot/OrderHistory.java
+++ b/src/test/java/wellwheel/pilot/OrderHistory.java
@@ -93,6 +93,10 @@
         return Optional.ofNullable(newest.lowerEntry(atUs)).map(Map.Entry::getValue).orElse(0L);
     }
 
+    Optional<Order> newestOrder() {
+        return calls.stream().filter(call -> call.is(Codes.FINE)).flatMap(call -> call.order.stream()).max(Comparator.comparingLong(order -> order.number));
+    }
+
     List<Call> calls() {
         return calls;
     }
