--- a/src/main/java/wellwheel/keeper/KeeperNode.java
+++ b/src/main/java/wellwheel/keeper/KeeperNode.java
@@ -158,7 +158,7 @@
         this.wire = wire;
         this.courier = courier;
         this.luck = new Random(seed);
-        this.journal = new Journal(disk, "keeper.journal");
+        this.journal = new Journal(disk, "keeper.journal", options.node());
         journal.replay(record -> recover(Frame.unpack(record)));
         doubtLastEnds();
         if (diskId.isEmpty()) {
--- a/src/main/java/wellwheel/lantern/Codes.java
+++ b/src/main/java/wellwheel/lantern/Codes.java
@@ -39,6 +39,8 @@
     INNER(5004, 0, "an unexpected fault inside the process"),
     FEW_VOTERS(5005, 0, "fewer pilots vote than the losses to be borne demand"),
     BAD_STATE(5006, 0, "the state on disk cannot be read whole; the process ends with status 79"),
+    JOURNAL_DAMAGED(5007, 0, "what a journal had synced is damaged; the disk counts as lost"),
+    JOURNAL_FOREIGN(5008, 0, "a journal on disk is another node's; the process ends with status 79"),
     HELD_BACK(5010, 0, "a tenant waits far longer than others of its partition"),
     LAGGARD(5011, 0, "a worker has fallen behind its peers"),
     WARNING_ENDS(5012, 0, "a warning is over"),
--- a/src/main/java/wellwheel/lantern/Journal.java
+++ b/src/main/java/wellwheel/lantern/Journal.java
@@ -1,100 +1,116 @@
 package wellwheel.lantern;
 
 import java.io.ByteArrayOutputStream;
-import java.nio.ByteBuffer;
+import java.util.Arrays;
 import java.util.List;
 import java.util.function.Consumer;
-import java.util.zip.CRC32;
 
 public final class Journal {
     private static final System.Logger LOG = System.getLogger("journal");
-    private static final int HEAD = 8;
+
+    public record Replay(int records, boolean cut, boolean syncedDamaged) { }
+
+    public static final class Unreadable extends RuntimeException {
+        private final Codes code;
+
+        Unreadable(Codes code, String why) {
+            super(why);
+            this.code = code;
+        }
+
+        public Codes code() {
+            return code;
+        }
+    }
+
     private final Disk disk;
     private final String name;
+    private final String owner;
     private long bytesLong;
+    private long synced;
+    private long generation;
+    private boolean formatted;
+    private boolean lost;
 
     public Journal(Disk disk, String name) {
+        this(disk, name, "");
+    }
+
+    public Journal(Disk disk, String name, String owner) {
         this.disk = disk;
         this.name = name;
+        this.owner = owner;
     }
 
-    public long bytesLong() {
+    public synchronized long bytesLong() {
         return bytesLong;
     }
 
-    public int replay(Consumer<byte[]> reader) {
+    public synchronized Replay replay(Consumer<byte[]> reader) {
         var whole = disk.load(name);
-        var buffer = ByteBuffer.wrap(whole);
-        var records = 0;
-        var soundEnd = 0;
-        while (buffer.remaining() >= HEAD) {
-            var length = buffer.getInt();
-            var sum = buffer.getInt();
-            if (length <= 0 || length > buffer.remaining()) {
-                break;
-            }
-            var record = new byte[length];
-            buffer.get(record);
-            if (sum != sumOf(record)) {
-                break;
-            }
-            reader.accept(record);
-            records++;
-            soundEnd = buffer.position();
+        var found = new JournalReader(whole, name, owner);
+        lost = found.cut() && found.syncedDamaged();
+        if (lost) {
+            LOG.log(System.Logger.Level.ERROR, "code=" + Codes.JOURNAL_DAMAGED.number() + " " + name + " is damaged at byte " + found.soundEnd() + " of " + whole.length + " in what had been synced; the disk counts as lost");
+            return new Replay(0, true, true);
         }
-        bytesLong = soundEnd;
-        if (soundEnd < whole.length) {
-            LOG.log(System.Logger.Level.WARNING, "code=" + Codes.JOURNAL_CUT.number() + " journal " + name + " cut at byte " + soundEnd + " of " + whole.length);
-            disk.rewrite(name, java.util.Arrays.copyOf(whole, soundEnd), () -> { });
+        found.each(reader);
+        bytesLong = found.soundEnd();
+        formatted = found.formatted();
+        if (found.cut()) {
+            LOG.log(System.Logger.Level.WARNING, "code=" + Codes.JOURNAL_CUT.number() + " journal " + name + " cut at byte " + bytesLong + " of " + whole.length);
+            replace(Arrays.copyOf(whole, found.soundEnd()), () -> { });
         }
-        return records;
+        return new Replay(found.records(), found.cut(), false);
     }
 
-    public int replaySkipping(Consumer<Frame> reader) {
-        var buffer = ByteBuffer.wrap(disk.load(name));
-        var damaged = 0;
-        while (buffer.remaining() >= HEAD) {
-            var length = buffer.getInt();
-            var sum = buffer.getInt();
-            if (length <= 0 || length > buffer.remaining()) {
-                return damaged + 1;
-            }
-            var record = new byte[length];
-            buffer.get(record);
-            try {
-                if (sum == sumOf(record)) {
-                    reader.accept(Frame.unpack(record));
-                } else {
-                    damaged++;
-                }
-            } catch (IllegalArgumentException e) {
-                damaged++;
-            }
+    public synchronized void append(byte[] record, Runnable whenSynced) {
+        if (lost) {
+            rewrite(List.of(record), whenSynced);
+            return;
         }
-        bytesLong = Math.max(bytesLong, buffer.position());
-        return damaged;
+        var framed = next(record);
+        var end = bytesLong;
+        var atGeneration = generation;
+        disk.append(name, framed, () -> {
+            reached(end, atGeneration);
+            whenSynced.run();
+        });
     }
 
-    public void append(byte[] record, Runnable synced) {
-        var framed = framed(record);
-        bytesLong += framed.length;
-        disk.append(name, framed, synced);
+    private byte[] next(byte[] record) {
+        var head = formatted ? new byte[0] : JournalReader.format(owner);
+        var framed = JournalReader.sealed(bytesLong + head.length, Math.min(synced, bytesLong + head.length), record);
+        formatted = true;
+        bytesLong += head.length + framed.length;
+        return head.length == 0 ? framed : joined(head, framed);
     }
 
-    public void rewrite(List<byte[]> records, Runnable synced) {
-        var out = new ByteArrayOutputStream();
-        records.forEach(record -> out.writeBytes(framed(record)));
-        bytesLong = out.size();
-        disk.rewrite(name, out.toByteArray(), synced);
+    private static byte[] joined(byte[] one, byte[] other) {
+        var both = Arrays.copyOf(one, one.length + other.length);
+        System.arraycopy(other, 0, both, one.length, other.length);
+        return both;
     }
 
-    private static byte[] framed(byte[] record) {
-        return ByteBuffer.allocate(HEAD + record.length).putInt(record.length).putInt(sumOf(record)).put(record).array();
+    private synchronized void reached(long end, long atGeneration) {
+        if (atGeneration == generation) {
+            synced = Math.max(synced, end);
+        }
+    }
+
+    public synchronized void rewrite(List<byte[]> records, Runnable whenSynced) {
+        lost = false;
+        formatted = false;
+        bytesLong = 0;
+        synced = Long.MAX_VALUE;
+        var out = new ByteArrayOutputStream();
+        records.forEach(record -> out.writeBytes(next(record)));
+        replace(out.toByteArray(), whenSynced);
     }
 
-    private static int sumOf(byte[] record) {
-        var sum = new CRC32();
-        sum.update(record);
-        return (int) sum.getValue();
+    private void replace(byte[] whole, Runnable whenSynced) {
+        generation++;
+        synced = whole.length;
+        disk.rewrite(name, whole, whenSynced);
     }
 }
--- a/src/main/java/wellwheel/lantern/QueueHistory.java
+++ b/src/main/java/wellwheel/lantern/QueueHistory.java
@@ -59,7 +59,7 @@
     private final long flushUs;
     private final LongSupplier coreUs;
     private final Optional<Disk> disk;
-    private final Optional<Journal> journal;
+    private final Optional<HistoryFile> file;
     private final Map<Key, Cell> live = new LinkedHashMap<>();
     private long tickedUs;
     private long flushedUs;
@@ -75,19 +75,19 @@
         this.flushUs = options.history().flushUs();
         this.coreUs = coreUs;
         this.disk = disk.filter(each -> enabled);
-        this.journal = this.disk.map(each -> new Journal(each, FILE));
-        journal.ifPresent(this::open);
+        this.file = this.disk.map(each -> new HistoryFile(each, FILE));
+        file.ifPresent(this::open);
     }
 
-    private void open(Journal file) {
+    private void open(HistoryFile file) {
         var versions = new ArrayList<Integer>();
-        damaged = file.replaySkipping(record -> {
+        damaged = file.open(record -> {
             if (record.kind().equals("history")) {
                 versions.add(record.small("version"));
             }
         });
         if (versions.isEmpty()) {
-            file.append(head(), () -> { });
+            file.append(head());
         } else if (versions.stream().anyMatch(version -> version != VERSION)) {
             throw new Unreadable("the queue history on disk is of version " + versions.get(0) + ", this program reads " + VERSION + "; move " + FILE + " away");
         }
@@ -113,7 +113,7 @@
         var key = new Key(startUs, tenant, service);
         var found = live.get(key);
         if (found == null) {
-            if (journal.isEmpty() && live.size() >= CELLS_MOST) {
+            if (file.isEmpty() && live.size() >= CELLS_MOST) {
                 live.remove(live.keySet().iterator().next());
             }
             key = live.size() < CELLS_MOST || tenant.isEmpty() ? key : new Key(startUs, REST, service);
@@ -199,9 +199,9 @@
             return Optional.empty();
         }
         var frame = rowsFrame("history.keep", rows);
-        journal.ifPresent(file -> {
-            file.append(frame.pack(), () -> { });
-            compact(file);
+        file.ifPresent(each -> {
+            each.append(frame.pack());
+            compact(each);
         });
         return Optional.of(frame);
     }
@@ -217,12 +217,12 @@
     }
 
     public void keep(Frame frame) {
-        journal.ifPresent(file -> file.append(frame.pack(), () -> { }));
+        file.ifPresent(each -> each.append(frame.pack()));
     }
 
     public Map<String, HistoryRow> rows(long fromUs, long toUs) {
         var found = new LinkedHashMap<String, HistoryRow>();
-        journal.ifPresent(file -> damaged = file.replaySkipping(record -> take(record, found, fromUs, toUs)));
+        file.ifPresent(each -> damaged = each.read(record -> take(record, found, fromUs, toUs)));
         liveRows().stream().filter(row -> row.startUs() + row.spanUs() > fromUs && row.startUs() < toUs).forEach(row -> merge(found, row));
         return found;
     }
@@ -252,7 +252,7 @@
         return rowsFrame("history.rows", List.copyOf(rows.values())).with("rid", ask.number("rid")).with("node", node).with("damaged", damaged);
     }
 
-    private void compact(Journal file) {
+    private void compact(HistoryFile file) {
         if (rewriting || file.bytesLong() < Math.max(FILE_LONG, 2 * rewrittenBytes)) {
             return;
         }
--- a/src/main/java/wellwheel/lighthouse/Lighthouse.java
+++ b/src/main/java/wellwheel/lighthouse/Lighthouse.java
@@ -3,6 +3,7 @@
 import wellwheel.gallery.Gallery;
 import wellwheel.keeper.Keeper;
 import wellwheel.lantern.Codes;
+import wellwheel.lantern.Journal;
 import wellwheel.lantern.QueueHistory;
 import wellwheel.lantern.Station;
 
@@ -16,13 +17,19 @@
     private static void keeper() throws InterruptedException {
         try {
             new Keeper(Station.start());
-        } catch (QueueHistory.Unreadable e) {
-            LOG.log(System.Logger.Level.ERROR, "code=" + Codes.BAD_STATE.number() + " " + e.getMessage());
-            System.out.flush();
-            Runtime.getRuntime().halt(BAD_STATE_STATUS);
+        } catch (Journal.Unreadable e) {
+            stop(e.code(), e.getMessage());
+        } catch (QueueHistory.Unreadable | IllegalArgumentException e) {
+            stop(Codes.BAD_STATE, e.getMessage());
         }
     }
 
+    private static void stop(Codes code, String why) {
+        LOG.log(System.Logger.Level.ERROR, "code=" + code.number() + " " + why);
+        System.out.flush();
+        Runtime.getRuntime().halt(BAD_STATE_STATUS);
+    }
+
     public static void main(String[] arguments) throws Exception {
         var role = arguments.length == 1 ? arguments[0] : "";
         switch (role) {
--- a/src/main/java/wellwheel/pilot/Pilot.java
+++ b/src/main/java/wellwheel/pilot/Pilot.java
@@ -15,6 +15,7 @@
 import wellwheel.lantern.Door;
 import wellwheel.lantern.Exchange;
 import wellwheel.lantern.FileDisk;
+import wellwheel.lantern.Journal;
 import wellwheel.lantern.Layout;
 import wellwheel.lantern.Links;
 import wellwheel.lantern.Station;
@@ -58,13 +59,19 @@
         var station = Station.start();
         try {
             new Pilot(station);
+        } catch (Journal.Unreadable e) {
+            stop(e.code(), e.getMessage());
         } catch (IllegalArgumentException | IllegalStateException e) {
             stop(e.getMessage());
         }
     }
 
     private static void stop(String why) {
-        LOG.log(System.Logger.Level.ERROR, "code=" + Codes.BAD_STATE.number() + " " + why);
+        stop(Codes.BAD_STATE, why);
+    }
+
+    private static void stop(Codes code, String why) {
+        LOG.log(System.Logger.Level.ERROR, "code=" + code.number() + " " + why);
         System.out.flush();
         Runtime.getRuntime().halt(BAD_STATE_STATUS);
     }
--- a/src/main/java/wellwheel/pilot/Raft.java
+++ b/src/main/java/wellwheel/pilot/Raft.java
@@ -117,12 +117,12 @@
         this.wire = wire;
         this.host = host;
         this.luck = new Random(seed);
-        this.journal = new Journal(disk, "pilot.journal");
+        this.journal = new Journal(disk, "pilot.journal", self);
         this.target = target;
-        journal.replay(record -> recover(Frame.unpack(record)));
+        var found = journal.replay(record -> recover(Frame.unpack(record)));
         if (firstVoters.isEmpty()) {
             firstVoters = List.copyOf(seeds);
-            amnesiac = !firstBoot;
+            amnesiac = !firstBoot || found.syncedDamaged();
         }
         if (diskId == 0) {
             diskId = luck.nextLong() | 1;
--- a/src/main/java/wellwheel/tide/World.java
+++ b/src/main/java/wellwheel/tide/World.java
@@ -29,6 +29,7 @@
     private static final long LEARN_US = 1_000_000;
     private static final long RESTART_US = 600_000;
     private static final long GRACE_US = 5_500_000;
+    private static final int SPOILED_BYTES = 16;
 
     public record Shape(List<String> zones, int galleriesPerZone, int keepers, long inZoneUs, long crossZoneUs, long syncUs, long restartUs, long syncEveryUs, int pilots, int survive) {
         public static Shape three() {
@@ -262,63 +263,137 @@
         }
     }
 
+    private static final class SimWrite {
+        final byte[] bytes;
+        final boolean whole;
+
+        SimWrite(byte[] bytes, boolean whole) {
+            this.bytes = bytes;
+            this.whole = whole;
+        }
+    }
+
     private static final class SimFile {
-        ByteArrayOutputStream synced = new ByteArrayOutputStream();
-        final List<byte[]> written = new ArrayList<>();
+        final ByteArrayOutputStream synced = new ByteArrayOutputStream();
+        final List<SimWrite> written = new ArrayList<>();
+
+        void settle(int count) {
+            var done = written.subList(0, count);
+            done.forEach(write -> put(synced, write));
+            done.clear();
+        }
+
+        void settleUpTo(SimWrite write) {
+            settle(written.indexOf(write) + 1);
+        }
+
+        byte[] seen() {
+            var out = new ByteArrayOutputStream();
+            out.writeBytes(synced.toByteArray());
+            written.forEach(write -> put(out, write));
+            return out.toByteArray();
+        }
+
+        private static void put(ByteArrayOutputStream out, SimWrite write) {
+            if (write.whole) {
+                out.reset();
+            }
+            out.writeBytes(write.bytes);
+        }
+
+        void losePower(Random luck, Random mischief) {
+            var sure = synced.size();
+            for (var write : written) {
+                if (write.whole && mischief.nextBoolean()) {
+                    break;
+                }
+                if (write.whole) {
+                    put(synced, write);
+                    sure = synced.size();
+                    continue;
+                }
+                var kept = switch (luck.nextInt(3)) {
+                    case 0 -> write.bytes.length;
+                    case 1 -> luck.nextInt(write.bytes.length + 1);
+                    default -> 0;
+                };
+                synced.writeBytes(Arrays.copyOf(Arrays.copyOf(write.bytes, kept), write.bytes.length));
+                sure = kept > 0 ? synced.size() - write.bytes.length + kept : sure;
+            }
+            written.clear();
+            if (mischief.nextBoolean()) {
+                shorten(sure);
+            }
+        }
+
+        private void shorten(int length) {
+            var rest = Arrays.copyOf(synced.toByteArray(), length);
+            synced.reset();
+            synced.writeBytes(rest);
+        }
     }
 
     private final class SimDisk {
+        void spoil(double part) {
+            files.values().forEach(file -> {
+                var bytes = file.synced.toByteArray();
+                var from = (int) (part * bytes.length);
+                for (var at = from; at < Math.min(bytes.length, from + SPOILED_BYTES); at++) {
+                    bytes[at] ^= 0x55;
+                }
+                file.synced.reset();
+                file.synced.writeBytes(bytes);
+            });
+        }
+
         final Map<String, SimFile> files = new HashMap<>();
+        private long freeAtUs;
 
         SimFile file(String name) {
             return files.computeIfAbsent(name, n -> new SimFile());
         }
 
+        private void write(Host host, int life, String name, SimWrite write, int syncTimes, Runnable synced) {
+            file(name).written.add(write);
+            freeAtUs = Math.max(freeAtUs, nowUs + syncTimes * shape.syncUs() * host.diskTimes);
+            at(freeAtUs, () -> host.awake(life, () -> {
+                file(name).settleUpTo(write);
+                synced.run();
+            }));
+        }
+
         Disk bind(Host host, int life) {
+            freeAtUs = nowUs;
+            files.values().forEach(file -> file.settle(file.written.size()));
             return new Disk() {
                 @Override
                 public byte[] load(String name) {
-                    file(name).written.forEach(file(name).synced::writeBytes);
-                    file(name).written.clear();
-                    return file(name).synced.toByteArray();
+                    return file(name).seen();
                 }
 
                 @Override
                 public void append(String name, byte[] bytes, Runnable synced) {
-                    file(name).written.add(bytes);
                     syncs++;
-                    at(nowUs + shape.syncUs() * host.diskTimes, () -> host.awake(life, () -> {
-                        var file = file(name);
-                        if (file.written.remove(bytes)) {
-                            file.synced.writeBytes(bytes);
-                        }
-                        synced.run();
-                    }));
+                    write(host, life, name, new SimWrite(bytes, false), 1, synced);
                 }
 
                 @Override
                 public void rewrite(String name, byte[] whole, Runnable synced) {
-                    file(name).written.clear();
-                    file(name).synced.reset();
-                    file(name).synced.writeBytes(whole);
-                    at(nowUs + 2 * shape.syncUs() * host.diskTimes, () -> host.awake(life, synced));
+                    write(host, life, name, new SimWrite(whole, true), 2, synced);
                 }
             };
         }
 
-        void losePower() {
+        void die() {
             files.values().forEach(file -> {
-                var out = file.synced;
-                for (var bytes : file.written) {
-                    switch (luck.nextInt(3)) {
-                        case 0 -> out.writeBytes(bytes);
-                        case 1 -> out.writeBytes(Arrays.copyOf(Arrays.copyOf(bytes, luck.nextInt(bytes.length + 1)), bytes.length));
-                        default -> { }
-                    }
-                }
-                file.written.clear();
+                var queued = file.written;
+                queued.subList(queued.size() - mischief.nextInt(queued.size() + 1), queued.size()).clear();
             });
         }
+
+        void losePower() {
+            files.values().forEach(file -> file.losePower(luck, mischief));
+        }
     }
 
     public interface Processors {
@@ -420,6 +495,7 @@
 
     private final Shape shape;
     private final Random luck;
+    private final Random mischief;
     private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.atUs() != b.atUs() ? Long.compare(a.atUs(), b.atUs()) : Long.compare(a.turn(), b.turn()));
     private final Map<String, Host> hosts = new LinkedHashMap<>();
     private final Map<String, Long> linkFreeUs = new HashMap<>();
@@ -451,6 +527,7 @@
     public World(Shape shape, long seed, Processors processors) {
         this.shape = shape;
         this.luck = new Random(seed);
+        this.mischief = new Random(seed ^ 0x5eed_d15cL);
         this.processors = processors;
         for (var index = 0; index < shape.pilots(); index++) {
             add("core-" + (index + 1), "pilot", nextIp(), shape.zones().get(index % shape.zones().size()));
@@ -574,6 +651,9 @@
     }
 
     public void kill(Host host) {
+        if (host.up) {
+            host.disk.die();
+        }
         host.end();
         after(shape.restartUs(), () -> restart(host));
     }
@@ -596,6 +676,11 @@
         host.disk.files.clear();
     }
 
+    public void spoil(Host host, double part, long darkUs) {
+        powerOff(host, darkUs);
+        host.disk.spoil(part);
+    }
+
     public void term(Host host) {
         if (!host.up) {
             return;
--- a/src/test/java/wellwheel/lantern/JournalTest.java
+++ b/src/test/java/wellwheel/lantern/JournalTest.java
@@ -1,8 +1,10 @@
 package wellwheel.lantern;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -89,4 +91,206 @@
         assertThat(replayed(disk)).containsExactly("kept", "new").inOrder();
         assertThat(journal.bytesLong()).isEqualTo(disk.bytes.length);
     }
+
+    private static final class Late implements Disk {
+        private final ByteArrayOutputStream file = new ByteArrayOutputStream();
+        private final List<Integer> ends = new ArrayList<>();
+        private final List<Runnable> owed = new ArrayList<>();
+        private int syncedBytes;
+
+        @Override
+        public byte[] load(String name) {
+            return file.toByteArray();
+        }
+
+        @Override
+        public void append(String name, byte[] more, Runnable synced) {
+            file.writeBytes(more);
+            ends.add(file.size());
+            owed.add(synced);
+        }
+
+        @Override
+        public void rewrite(String name, byte[] whole, Runnable synced) {
+            file.reset();
+            ends.clear();
+            syncedBytes = whole.length;
+            append(name, whole, synced);
+        }
+
+        void sync() {
+            syncedBytes = file.size();
+            List.copyOf(owed).forEach(Runnable::run);
+            owed.clear();
+        }
+    }
+
+    private static Memory holding(byte[] bytes) {
+        var disk = new Memory();
+        disk.bytes = bytes;
+        return disk;
+    }
+
+    private static Journal.Replay replay(byte[] bytes, List<String> found) {
+        return new Journal(holding(bytes), "j", "me").replay(record -> found.add(new String(record)));
+    }
+
+    private static byte[] record(int number, Random luck) {
+        return Arrays.copyOf(("record " + number).getBytes(), 10 + luck.nextInt(luck.nextInt(20) == 0 ? 5_000 : 90));
+    }
+
+    private static Late grown(Random luck, int rewriteAt) {
+        var disk = new Late();
+        var journal = new Journal(disk, "j", "me");
+        for (var number = 0; number < 40; number++) {
+            journal.append(record(number, luck), () -> { });
+            if (luck.nextInt(4) == 0) {
+                disk.sync();
+            }
+            if (number == rewriteAt) {
+                journal.rewrite(List.of(record(100, luck), record(101, luck), record(102, luck)), () -> { });
+            }
+        }
+        return disk;
+    }
+
+    @Test
+    void whateverUnsyncedWritesArePresentMissingOrTornNothingSyncedIsCalledDamaged() {
+        for (var seed = 0; seed < 400; seed++) {
+            var luck = new Random(seed);
+            var disk = grown(luck, luck.nextInt(80));
+            var bytes = disk.file.toByteArray();
+            var from = disk.syncedBytes;
+            for (var end : disk.ends) {
+                if (end > from) {
+                    var kept = from + List.of(0, luck.nextInt(end - from + 1), end - from).get(luck.nextInt(3));
+                    Arrays.fill(bytes, kept, end, (byte) 0);
+                    from = end;
+                }
+            }
+            var found = new ArrayList<String>();
+            var result = replay(luck.nextBoolean() ? bytes : Arrays.copyOf(bytes, disk.syncedBytes + luck.nextInt(bytes.length - disk.syncedBytes + 1)), found);
+            assertThat(result.syncedDamaged()).isFalse();
+            assertThat(result.records()).isEqualTo(found.size());
+            assertThat(found.size()).isAtLeast((int) disk.ends.stream().filter(end -> end <= disk.syncedBytes).count());
+        }
+    }
+
+    @Test
+    void damageBeforeASoundRecordThatKnewOfTheSyncIsALostDisk() {
+        for (var seed = 0; seed < 400; seed++) {
+            var luck = new Random(seed);
+            var disk = grown(luck, luck.nextInt(80));
+            disk.sync();
+            var journal = new Journal(disk, "j", "me");
+            journal.replay(record -> { });
+            journal.append("a mark".getBytes(), () -> { });
+            disk.sync();
+            journal.append("another".getBytes(), () -> { });
+            var bytes = disk.file.toByteArray();
+            var at = luck.nextInt(disk.ends.get(disk.ends.size() - 2));
+            var count = 1 + luck.nextInt(Math.min(600, disk.ends.get(disk.ends.size() - 2) - at));
+            for (var each = at; each < at + count; each++) {
+                bytes[each] = (byte) (luck.nextInt(3) == 0 ? 0 : bytes[each] ^ (1 + luck.nextInt(255)));
+            }
+            if (Arrays.equals(bytes, disk.file.toByteArray())) {
+                continue;
+            }
+            var found = new ArrayList<String>();
+            var result = replay(bytes, found);
+            assertThat(result.syncedDamaged()).isTrue();
+            assertThat(found).isEmpty();
+        }
+    }
+
+    @Test
+    void theFirstRecordAfterALostDiskReplacesTheWholeFile() {
+        var disk = new Memory();
+        var journal = new Journal(disk, "j", "me");
+        for (var number = 0; number < 5; number++) {
+            journal.append(("record " + number).getBytes(), () -> { });
+        }
+        disk.bytes[disk.bytes.length / 2] ^= 1;
+        var again = new Journal(disk, "j", "me");
+        var before = disk.bytes;
+        assertThat(again.replay(record -> { }).syncedDamaged()).isTrue();
+        assertThat(disk.bytes).isEqualTo(before);
+        again.append("anew".getBytes(), () -> { });
+        again.append("more".getBytes(), () -> { });
+        assertThat(replayed(disk)).containsExactly("anew", "more").inOrder();
+    }
+
+    @Test
+    void aJournalOfTheFormerFormatIsReadAndGrows() {
+        var disk = new Memory();
+        var old = new ByteArrayOutputStream();
+        List.of("old 1", "old 2").forEach(text -> old.writeBytes(JournalReader.plain(text.getBytes())));
+        old.writeBytes(new byte[] {0, 0, 0, 9, 1, 2});
+        disk.bytes = old.toByteArray();
+        var journal = new Journal(disk, "j", "me");
+        var found = new ArrayList<String>();
+        var result = journal.replay(record -> found.add(new String(record)));
+        assertThat(found).containsExactly("old 1", "old 2").inOrder();
+        assertThat(result).isEqualTo(new Journal.Replay(2, true, false));
+        journal.append("new 1".getBytes(), () -> { });
+        journal.append("new 2".getBytes(), () -> { });
+        assertThat(replayed(disk)).containsExactly("old 1", "old 2", "new 1", "new 2").inOrder();
+        disk.bytes[9] ^= 1;
+        assertThat(new Journal(disk, "j", "me").replay(record -> { }).syncedDamaged()).isTrue();
+    }
+
+    @Test
+    void aNewerFormatOrAnotherNodesJournalIsRefused() {
+        var newer = JournalReader.plain(new byte[] {(byte) 0xC1, 3, 'm', 'e'});
+        assertThat(assertThrows(Journal.Unreadable.class, () -> replay(newer, new ArrayList<>())).code()).isEqualTo(Codes.BAD_STATE);
+        var disk = new Memory();
+        new Journal(disk, "j", "other").append("a vote".getBytes(), () -> { });
+        var before = disk.bytes.clone();
+        var refusal = assertThrows(Journal.Unreadable.class, () -> replay(disk.bytes, new ArrayList<>()));
+        assertThat(refusal.code()).isEqualTo(Codes.JOURNAL_FOREIGN);
+        assertThat(refusal.getMessage()).isEqualTo("j was written by other, this is me; move it away");
+        assertThat(disk.bytes).isEqualTo(before);
+    }
+
+    @Test
+    void garbageIsReadAsNothingQuicklyAndWithoutGreatAllocations() {
+        var lengths = List.of(Integer.MAX_VALUE, Integer.MIN_VALUE, -1, 0, 1 << 30);
+        for (var length : lengths) {
+            assertThat(replay(ByteBuffer.allocate(40).putInt(length).array(), new ArrayList<>())).isEqualTo(new Journal.Replay(0, true, false));
+        }
+        var luck = new Random(5);
+        for (var size : List.of(1, 7, 8, 9, 300, 1 << 21)) {
+            var bytes = new byte[size];
+            luck.nextBytes(bytes);
+            bytes[0] = (byte) 0xC1;
+            assertThat(replay(bytes, new ArrayList<>()).records()).isEqualTo(0);
+        }
+        assertThat(replay(new byte[0], new ArrayList<>())).isEqualTo(new Journal.Replay(0, false, false));
+    }
+
+    @Test
+    void aRecordMovedToAnotherPlaceOrFoundInsideABodyProvesNothing() {
+        var disk = new Memory();
+        var journal = new Journal(disk, "j", "me");
+        journal.append("first".getBytes(), () -> { });
+        var torn = disk.bytes.clone();
+        var bodied = JournalReader.sealed(400, 400, "a body that looks like a record".getBytes());
+        var out = new ByteArrayOutputStream();
+        out.writeBytes(torn);
+        out.writeBytes(new byte[20]);
+        out.writeBytes(bodied);
+        assertThat(replay(out.toByteArray(), new ArrayList<>())).isEqualTo(new Journal.Replay(1, true, false));
+    }
+
+    @Test
+    void aRecordCostsNoMoreThanItDid() {
+        var disk = new Memory();
+        var journal = new Journal(disk, "j", "me");
+        journal.append(new byte[300], () -> { });
+        var before = disk.bytes.length;
+        for (var number = 0; number < 100; number++) {
+            journal.append(new byte[300], () -> { });
+        }
+        assertThat(disk.bytes.length - before).isAtMost(100 * (300 + 9));
+    }
 }
--- a/src/test/java/wellwheel/lantern/QueueHistoryTest.java
+++ b/src/test/java/wellwheel/lantern/QueueHistoryTest.java
@@ -75,7 +75,7 @@
 
     @Test
     void anUnknownVersionIsRefusedWithOneClearLine() throws Options.Unusable {
-        new Journal(disk, "history.journal").append(Frame.of("history").with("version", 9).pack(), () -> { });
+        new HistoryFile(disk, "history.journal").append(Frame.of("history").with("version", 9).pack());
         var refusal = assertThrows(QueueHistory.Unreadable.class, () -> history("1"));
         assertThat(refusal.getMessage()).contains("version 9");
     }
@@ -90,4 +90,20 @@
         assertThat(rows.size()).isAtMost(4100);
         assertThat(rows.stream().filter(row -> row.tenant().equals(QueueHistory.REST)).mapToLong(row -> row.counts().offered()).sum()).isEqualTo(10_000 - 4096);
     }
+
+    @Test
+    void aTornRecordOfAnyShapeHidesNothingWrittenAfterIt() throws Options.Unusable {
+        for (var shape = 0; shape < 4; shape++) {
+            file.reset();
+            var first = history("1");
+            first.arrived("t", "s", nowUs);
+            first.flush();
+            file.writeBytes(new byte[][] {new byte[90], {0x7f, -1, -1, -1, 1, 2, 3, 4, 5}, {0, 0, 0, 40, 9, 9, 9, 9, 9}, {1}}[shape]);
+            var second = history("2");
+            assertThat(second.damaged()).isEqualTo(1);
+            second.arrived("t", "s", nowUs);
+            second.flush();
+            assertThat(offered(history("3"))).isEqualTo(2);
+        }
+    }
 }
