FileDisk: what a load returns lasts, reads never see half a write, no shared .new

The first load of a life syncs file and folder; .new is removed and made anew. Ruled out: a lock round syncs (would hold the loop up). The gallery's first tick has no test.

--- a/src/main/java/wellwheel/gallery/Gallery.java
+++ b/src/main/java/wellwheel/gallery/Gallery.java
@@ -6,6 +6,7 @@
 import wellwheel.lantern.Door;
 import wellwheel.lantern.Exchange;
 import wellwheel.lantern.Links;
+import wellwheel.lantern.LoopClock;
 import wellwheel.lantern.Station;
 
 public final class Gallery {
@@ -30,7 +31,7 @@
         front.open(options.front());
         front.watch();
         ready.open(options.ready());
-        node.tick();
+        station.loop().execute(() -> LoopClock.guarded(node::tick));
         station.onSeeds(node.claim()::addPilots);
         station.onTerm(this::leave);
         LOG.log(System.Logger.Level.INFO, "gallery " + options.node() + " is up");
--- a/src/main/java/wellwheel/lantern/FileDisk.java
+++ b/src/main/java/wellwheel/lantern/FileDisk.java
@@ -4,16 +4,14 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Executor;
 import org.jctools.queues.MpscBlockingConsumerArrayQueue;
 
 public final class FileDisk implements Disk {
@@ -22,34 +20,57 @@
 
     private record Work(String name, byte[] bytes, boolean whole, Runnable synced) { }
 
-    private final Path folder;
-    private final EventLoop loop;
+    private final Volume volume;
+    private final Executor loop;
     private final MpscBlockingConsumerArrayQueue<Work> queue = new MpscBlockingConsumerArrayQueue<>(1 << 16);
-    private final Map<String, FileChannel> files = new HashMap<>();
+    private final Map<String, Volume.Handle> files = new HashMap<>();
+    private final Set<String> loaded = new HashSet<>();
+    private final Object writing = new Object();
 
     public FileDisk(Path folder, EventLoop loop) {
-        this.folder = folder;
+        this(volumeIn(folder), loop);
+        var thread = new Thread(null, this::work, "disk", 256 * 1024);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    FileDisk(Volume volume, Executor loop) {
+        this.volume = volume;
         this.loop = loop;
+    }
+
+    private static Volume volumeIn(Path folder) {
         try {
-            Files.createDirectories(folder);
+            return Volume.in(folder);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        var thread = new Thread(null, this::work, "disk", 256 * 1024);
-        thread.setDaemon(true);
-        thread.start();
     }
 
     @Override
     public byte[] load(String name) {
         try {
-            var path = folder.resolve(name);
-            return Files.exists(path) ? Files.readAllBytes(path) : new byte[0];
+            synchronized (writing) {
+                if (!volume.exists(name)) {
+                    return new byte[0];
+                }
+                if (loaded.add(name) && !files.containsKey(name)) {
+                    makeLasting(name);
+                }
+                return volume.read(name);
+            }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
 
+    private void makeLasting(String name) throws IOException {
+        try (var file = volume.appending(name)) {
+            file.sync(true);
+        }
+        volume.syncNames();
+    }
+
     @Override
     public void append(String name, byte[] bytes, Runnable synced) {
         enqueue(new Work(name, bytes, false, synced));
@@ -67,24 +88,32 @@
     }
 
     private void work() {
-        var batch = new ArrayList<Work>();
         try {
             while (true) {
-                batch.add(queue.take());
-                queue.drain(batch::add, BATCH);
-                write(batch);
-                var done = List.copyOf(batch);
-                batch.clear();
-                loop.execute(() -> done.forEach(work -> LoopClock.guarded(work.synced())));
+                writeBatch(queue.take());
             }
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException | Error e) {
             fail(e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private static void fail(IOException e) {
+    void writeQueued() throws IOException {
+        for (var first = queue.poll(); first != null; first = queue.poll()) {
+            writeBatch(first);
+        }
+    }
+
+    private void writeBatch(Work first) throws IOException {
+        var batch = new ArrayList<Work>();
+        batch.add(first);
+        queue.drain(batch::add, BATCH);
+        write(batch);
+        loop.execute(() -> batch.forEach(work -> LoopClock.guarded(work.synced())));
+    }
+
+    private static void fail(Throwable e) {
         LOG.log(System.Logger.Level.ERROR, "the disk fails; the process ends", e);
         Runtime.getRuntime().halt(74);
     }
@@ -101,44 +130,43 @@
             }
         }
         for (var name : dirty) {
-            files.get(name).force(false);
+            files.get(name).sync(false);
         }
     }
 
     private void append(Work work) throws IOException {
         var file = files.get(work.name());
         if (file == null) {
-            file = FileChannel.open(folder.resolve(work.name()), StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.APPEND);
-            files.put(work.name(), file);
-            file.force(true);
-            syncFolder();
+            file = create(work.name());
         }
-        var buffer = ByteBuffer.wrap(work.bytes());
-        while (buffer.hasRemaining()) {
-            file.write(buffer);
+        synchronized (writing) {
+            file.write(ByteBuffer.wrap(work.bytes()));
         }
     }
 
-    private void replace(Work work) throws IOException {
-        var fresh = folder.resolve(work.name() + ".new");
-        try (var file = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
-            var buffer = ByteBuffer.wrap(work.bytes());
-            while (buffer.hasRemaining()) {
-                file.write(buffer);
-            }
-            file.force(true);
-        }
-        var old = files.remove(work.name());
-        if (old != null) {
-            old.close();
+    private Volume.Handle create(String name) throws IOException {
+        var file = volume.appending(name);
+        synchronized (writing) {
+            files.put(name, file);
         }
-        Files.move(fresh, folder.resolve(work.name()), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-        syncFolder();
+        file.sync(true);
+        volume.syncNames();
+        return file;
     }
 
-    private void syncFolder() throws IOException {
-        try (var dir = FileChannel.open(folder, StandardOpenOption.READ)) {
-            dir.force(true);
+    private void replace(Work work) throws IOException {
+        var fresh = work.name() + ".new";
+        try (var file = volume.fresh(fresh)) {
+            file.write(ByteBuffer.wrap(work.bytes()));
+            file.sync(true);
+        }
+        synchronized (writing) {
+            var old = files.remove(work.name());
+            if (old != null) {
+                old.close();
+            }
+            volume.rename(fresh, work.name());
         }
+        volume.syncNames();
     }
 }
