--- a/src/test/java/wellwheel/pilot/LogHistory.java
+++ b/src/test/java/wellwheel/pilot/LogHistory.java
@@ -1,8 +1,6 @@
 package wellwheel.pilot;
 
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -28,6 +26,7 @@
     private final Map<String, Seen> seen = new LinkedHashMap<>();
     private final Map<Long, String> states = new HashMap<>();
     private final List<Taken> chain = new ArrayList<>();
+    private List<String> voters = List.of();
     private long revision;
     private int restores;
 
@@ -79,12 +78,30 @@
             var known = Optional.ofNullable(confirmed.putIfAbsent(index, fresh));
             if (known.isEmpty()) {
                 take(entry.bytes("command"), nowUs);
+                change(entry.texts("voters"), nowUs);
             } else if (!known.get().digest().equals(fresh.digest())) {
                 faults.add(nowUs, "log: two entries at one index", index + " of " + machine.ip + " is of term " + fresh.term() + ", " + known.get().by() + " confirmed another of term " + known.get().term());
             }
         }
     }
 
+    private void change(List<String> next, long nowUs) {
+        if (next.isEmpty()) {
+            return;
+        }
+        if (!voters.isEmpty() && couldSplit(voters, next)) {
+            faults.add(nowUs, "voters: two lists without a common majority", voters + " and " + next);
+        }
+        voters = next;
+    }
+
+    private static boolean couldSplit(List<String> one, List<String> other) {
+        var common = one.stream().filter(other::contains).count();
+        var fromOne = Math.max(0, one.size() / 2 + 1 - (one.size() - common));
+        var fromOther = Math.max(0, other.size() / 2 + 1 - (other.size() - common));
+        return fromOne + fromOther <= common;
+    }
+
     private void take(byte[] command, long nowUs) {
         if (command.length == 0) {
             return;
--- a/src/test/java/wellwheel/pilot/Mischief.java
+++ b/src/test/java/wellwheel/pilot/Mischief.java
@@ -166,14 +166,28 @@
         var ways = ControlWorld.Ways.values()[luck.nextInt(3)];
         var holds = luck.nextBoolean();
         var spanUs = spanUs();
-        var cut = world.cut(List.of(machine), ways, holds, luck.nextBoolean() ? spanUs : 900_000);
-        tell("cut " + machine.ip + " " + ways + (holds ? " holding" : " dropping") + " for " + spanUs + " us");
+        var side = withSomeHolders(machine);
+        var cut = world.cut(side, ways, holds, luck.nextBoolean() ? spanUs : 900_000);
+        tell("cut " + side.stream().map(each -> each.ip).toList() + " " + ways + (holds ? " holding" : " dropping") + " for " + spanUs + " us");
         world.after(spanUs, () -> {
             world.join(cut);
             found(machine);
         });
     }
 
+    /** Galleries and keepers may stand on the side of the one that is cut off. */
+    private List<Machine> withSomeHolders(Machine machine) {
+        var side = new ArrayList<>(List.of(machine));
+        holders().stream().filter(each -> luck.nextInt(3) == 0).forEach(side::add);
+        return side;
+    }
+
+    private List<Machine> holders() {
+        var holders = new ArrayList<>(world.machines("gallery"));
+        holders.addAll(world.machines("keeper"));
+        return holders;
+    }
+
     /** Held up both ways for less than a leader's patience, let through for a moment, then cut off again. */
     private void twisted(Machine machine) {
         var heldUs = 200_000 + luck.nextInt(400_000);
@@ -271,8 +285,7 @@
     }
 
     private void holderTrouble() {
-        var holders = new ArrayList<>(world.machines("gallery"));
-        holders.addAll(world.machines("keeper"));
+        var holders = holders();
         var holder = holders.get(luck.nextInt(holders.size()));
         if (luck.nextBoolean()) {
             world.freeze(holder, spanUs(), ControlWorld.Order.values()[luck.nextInt(5)]);
