--- a/src/test/java/wellwheel/pilot/ControlPointsTest.java
+++ b/src/test/java/wellwheel/pilot/ControlPointsTest.java
@@ -51,8 +51,10 @@
     private static Machine leaderAmidARound(ControlPlay play) {
         changed(play);
         var leader = leader(play);
-        play.operators.call(Optional.of(play.operators.proper(play.orders.confirmedNumber())), leader.ip);
-        play.world.runFor(1_100 + play.world.luck.nextInt(900));
+        for (var i = 0; i < 6; i++) {
+            play.world.after(i * 200L, () -> play.operators.call(Optional.of(play.operators.proper(play.orders.confirmedNumber())), leader.ip));
+        }
+        play.world.runFor(1_400 + play.world.luck.nextInt(1_200));
         return leader;
     }
 
@@ -133,6 +135,25 @@
         }
     }
 
+    /** Voters that start again have forgotten whom they heard, and elect at once; the old leader is still within its lease. */
+    @ParameterizedTest
+    @EnumSource(Ways.class)
+    void aLeaderIsNotBelievedWhileItsVotersStartAgain(Ways ways) {
+        for (var seed = 1; seed <= 12; seed++) {
+            var play = ControlPlay.still(Shape.three(), seed, 0);
+            changed(play);
+            var old = leader(play);
+            var rest = others(play, old);
+            var cut = play.world.cut(List.of(old), ways, seed % 2 == 0, 0);
+            rest.forEach(each -> play.world.killAndRestart(each, 1_000));
+            askOften(play, old, SECOND);
+            pressOn(play, rest, SECOND);
+            play.world.runFor(3 * SECOND);
+            play.world.join(cut);
+            sound(play);
+        }
+    }
+
     @ParameterizedTest
     @MethodSource("few")
     void aTakenOrderIsNeverRefusedHoweverManyChangesLater(long seed) {
--- a/src/test/java/wellwheel/pilot/ControlWorld.java
+++ b/src/test/java/wellwheel/pilot/ControlWorld.java
@@ -32,6 +32,7 @@
     private static final long END_US = 150_000;
     private static final long QUEUED_BYTES_MOST = 32L << 20;
     private static final long SILENT_US = 950_000;
+    private static final long HELD_TASK_US = 40;
     private static final long LIST_LAG_US = 3_000_000;
     static final double FULL_BYTES_PER_US = 120;
 
@@ -95,6 +96,7 @@
         boolean leaving;
         long frozenUntilUs;
         Order thaw = Order.MIXED;
+        private long drainedUs;
         Optional<PilotNode> node = Optional.empty();
         Optional<Claim> claim = Optional.empty();
         private final List<Held> held = new ArrayList<>();
@@ -137,18 +139,32 @@
             }
             if (frozen()) {
                 held.add(new Held(stream, atLife, task));
-                return;
+            } else if (nowUs < drainedUs) {
+                at(drainedUs, () -> awake(atLife, stream, task));
+            } else {
+                guarded(this, task);
             }
-            guarded(this, task);
         }
 
         private void thawNow() {
             if (frozen()) {
                 return;
             }
-            var tasks = List.copyOf(held);
+            var tasks = sorted(List.copyOf(held), thaw);
             held.clear();
-            sorted(tasks, thaw).forEach(each -> awake(each.life(), each.stream(), each.task()));
+            drainedUs = nowUs + tasks.size() * HELD_TASK_US;
+            for (var i = 0; i < tasks.size(); i++) {
+                var each = tasks.get(i);
+                at(nowUs + i * HELD_TASK_US, () -> drain(each));
+            }
+        }
+
+        private void drain(Held each) {
+            if (frozen()) {
+                held.add(each);
+            } else if (up && life == each.life()) {
+                guarded(this, each.task());
+            }
         }
 
         void start() {
@@ -206,6 +222,7 @@
             up = false;
             life++;
             frozenUntilUs = 0;
+            drainedUs = 0;
             held.clear();
             node = Optional.empty();
             claim = Optional.empty();
