Lines: nothing of an older epoch takes or makes a copy, and none is told unsynced

Cause: a keeper that heard of a newer epoch from its primary and then got the table of an older one from the leader acted on the older: it threw its copy away (and stayed in the table as whole), or opened the line as a second primary. Five more of the same kind: a joining copy told what it has before that was synced; a keeper that had heard no table yet let any primary prune it; a change of a message that the copy lacks was acknowledged; a primary that missed an epoch went on counting a copy as level that was taken out meanwhile; a primary that was itself frozen or cut off accused its sound copies, so that the sick one held the only copy.

Ruled out: reports of an older epoch (`line.level`, `line.lost`) already change nothing, as the table is compared and set by epoch; late `ok` of a former life stand for what was synced.

Shown by: KeeperNodeTest, eight new tests, each fails on the sources before.

The simulated disk syncs in order now also while its speed changes.

--- a/src/main/java/wellwheel/keeper/KeeperNode.java
+++ b/src/main/java/wellwheel/keeper/KeeperNode.java
@@ -37,6 +37,7 @@
     private static final int HANDED_AT_ONCE = 128;
     private static final int HOSTS_MOST = 4096;
     private static final long LOST_US = 600_000;
+    private static final long STALL_US = 300_000;
     private static final long LULL_US = 300_000;
     private static final long LEG_SLACK_US = 150_000;
     private static final long LIVE_BYTES_MOST = 64L << 20;
@@ -142,6 +143,9 @@
     private final Map<String, Desk> desks = new HashMap<>();
     private final PriorityQueue<Timed> agenda = new PriorityQueue<>((a, b) -> Long.compare(a.atUs(), b.atUs()));
     private long agendaAtUs = Long.MAX_VALUE;
+    private long tickedUs;
+    private long awakeSinceUs;
+    private long inTouchSinceUs;
     private long liveBytes;
     private boolean leaving;
     private boolean rewriting;
@@ -284,6 +288,7 @@
     public synchronized void tick() {
         claim.tick();
         var nowUs = clock.steadyUs();
+        noteOwnTrouble(nowUs);
         lines.values().forEach(line -> tickLine(line, nowUs));
         refreshDesks();
         desks.values().forEach(this::pump);
@@ -301,6 +306,16 @@
         }
     }
 
+    private void noteOwnTrouble(long nowUs) {
+        if (nowUs - tickedUs > STALL_US) {
+            awakeSinceUs = nowUs;
+        }
+        if (nowUs - tickedUs > STALL_US || claim.ageUs() > LOST_US) {
+            inTouchSinceUs = nowUs;
+        }
+        tickedUs = nowUs;
+    }
+
     private void tickLine(Line line, long nowUs) {
         if (line.seen && !line.open && line.place.primary().equals(id)) {
             report(Frame.of("line.reopen").with("line", line.number).with("epoch", line.place.epoch()).with("node", id));
@@ -330,8 +345,8 @@
     }
 
     private boolean overdue(String node, long sinceUs, long nowUs) {
-        var silentUs = nowUs - Math.max(sinceUs, heardUs.getOrDefault(claim.layout().ipOf(node), Long.MIN_VALUE / 2));
-        return silentUs > LOST_US || nowUs - sinceUs > OVERDUE_US;
+        var silentUs = nowUs - Math.max(Math.max(sinceUs, inTouchSinceUs), heardUs.getOrDefault(claim.layout().ipOf(node), Long.MIN_VALUE / 2));
+        return silentUs > LOST_US || nowUs - Math.max(sinceUs, awakeSinceUs) > OVERDUE_US;
     }
 
     private void tickJoin(Line line, Joining join, long nowUs) {
@@ -372,7 +387,10 @@
         var old = line.place;
         line.place = place;
         line.seen = true;
-        line.epoch = Math.max(line.epoch, place.epoch());
+        if (place.epoch() < line.epoch) {
+            return;
+        }
+        line.epoch = place.epoch();
         var mine = place.primary().equals(id);
         if (!mine) {
             stepDown(line);
@@ -483,6 +501,9 @@
 
     private void reconcile(Line line, Layout.Line old) {
         var place = line.place;
+        if (place.epoch() > old.epoch() + 1) {
+            line.peers.clear();
+        }
         if (place.whole() != old.whole()) {
             LOG.log(System.Logger.Level.DEBUG, "line " + line.number + " epoch " + place.epoch() + (place.whole() ? " is whole" : " has too few copies"));
         }
@@ -689,8 +710,13 @@
             record.with("ep", epoch);
         }
         line.seq = Math.max(line.seq, seq);
+        var message = upsert(line, record);
+        if (message.isEmpty() && record.small("st") == Message.State.WAITING.ordinal()) {
+            wire.send(from, answer.with("why", "unjoined"));
+            return;
+        }
         line.low = Math.max(line.low, seq - frame.number("w"));
-        upsert(line, record).ifPresent(message -> message.seq = Math.max(message.seq, seq));
+        message.ifPresent(each -> each.seq = Math.max(each.seq, seq));
         var ok = Frame.of("ok").with("l", line.number).with("s", seq);
         if (frame.flag("y")) {
             journal.append(record.pack(), () -> wire.send(from, ok));
@@ -729,17 +755,25 @@
 
     private void onJoinAsk(String from, Frame frame) {
         var line = line(frame.small("line"));
-        if (frame.number("epoch") < line.epoch || line.open && frame.number("epoch") <= line.epoch) {
+        var epoch = frame.number("epoch");
+        if (!line.seen || epoch < line.epoch || line.open && epoch <= line.epoch) {
             return;
         }
-        line.epoch = frame.number("epoch");
+        line.epoch = epoch;
         stepDown(line);
         line.member = true;
         line.low = 0;
         var have = new ArrayList<Object>();
         line.messages.values().forEach(message -> have.add(new Frame().with("id", message.id).with("v", message.version())
             .with("seal", message.seal).with("state", message.state.ordinal()).with("w", message.endedByWorker).with("nb", message.body.length == 0)));
-        wire.send(from, Frame.of("join.have").with("line", line.number).with("epoch", line.epoch).with("have", have).with("from", id));
+        var answer = Frame.of("join.have").with("line", line.number).with("epoch", epoch).with("have", have).with("from", id);
+        journal.append(Frame.of("j").with("line", line.number).with("epoch", epoch).pack(), () -> {
+            synchronized (this) {
+                if (line.member && line.epoch == epoch) {
+                    wire.send(from, answer);
+                }
+            }
+        });
     }
 
     private void onJoinHave(Frame frame) {
--- a/src/main/java/wellwheel/tide/World.java
+++ b/src/main/java/wellwheel/tide/World.java
@@ -262,6 +262,16 @@
         }
     }
 
+    public interface DiskEar {
+        void kept(Host host, String file, boolean anew, byte[] bytes);
+    }
+
+    private DiskEar diskEar = (host, file, anew, bytes) -> { };
+
+    public void onDisk(DiskEar ear) {
+        diskEar = ear;
+    }
+
     private static final class SimFile {
         ByteArrayOutputStream synced = new ByteArrayOutputStream();
         final List<byte[]> written = new ArrayList<>();
@@ -269,6 +279,7 @@
 
     private final class SimDisk {
         final Map<String, SimFile> files = new HashMap<>();
+        long syncedAtUs;
 
         SimFile file(String name) {
             return files.computeIfAbsent(name, n -> new SimFile());
@@ -278,7 +289,10 @@
             return new Disk() {
                 @Override
                 public byte[] load(String name) {
-                    file(name).written.forEach(file(name).synced::writeBytes);
+                    file(name).written.forEach(bytes -> {
+                        file(name).synced.writeBytes(bytes);
+                        diskEar.kept(host, name, false, bytes);
+                    });
                     file(name).written.clear();
                     return file(name).synced.toByteArray();
                 }
@@ -287,10 +301,12 @@
                 public void append(String name, byte[] bytes, Runnable synced) {
                     file(name).written.add(bytes);
                     syncs++;
-                    at(nowUs + shape.syncUs() * host.diskTimes, () -> host.awake(life, () -> {
+                    syncedAtUs = Math.max(syncedAtUs, nowUs + shape.syncUs() * host.diskTimes);
+                    at(syncedAtUs, () -> host.awake(life, () -> {
                         var file = file(name);
                         if (file.written.remove(bytes)) {
                             file.synced.writeBytes(bytes);
+                            diskEar.kept(host, name, false, bytes);
                         }
                         synced.run();
                     }));
@@ -301,6 +317,7 @@
                     file(name).written.clear();
                     file(name).synced.reset();
                     file(name).synced.writeBytes(whole);
+                    diskEar.kept(host, name, true, whole);
                     at(nowUs + 2 * shape.syncUs() * host.diskTimes, () -> host.awake(life, synced));
                 }
             };
@@ -588,11 +605,14 @@
         host.end();
         host.powered = false;
         host.disk.losePower();
+        host.disk.syncedAtUs = 0;
+        host.disk.files.forEach((name, file) -> diskEar.kept(host, name, true, file.synced.toByteArray()));
         after(darkUs, () -> restart(host));
     }
 
     public void wipe(Host host, long darkUs) {
         powerOff(host, darkUs);
+        host.disk.files.keySet().forEach(name -> diskEar.kept(host, name, true, new byte[0]));
         host.disk.files.clear();
     }
 
--- a/src/test/java/wellwheel/keeper/KeeperNodeTest.java
+++ b/src/test/java/wellwheel/keeper/KeeperNodeTest.java
@@ -55,6 +55,8 @@
         var copy = Frame.unpack(frame.pack());
         (ip.equals(OTHER) ? sentToOther : sentToPilot).add(copy);
     };
+    private boolean stalled;
+    private final List<Runnable> unsynced = new ArrayList<>();
     private final Map<String, byte[]> files = new HashMap<>();
     private final Disk disk = new Disk() {
         @Override
@@ -64,7 +66,11 @@
 
         @Override
         public void append(String name, byte[] bytes, Runnable synced) {
-            synced.run();
+            if (stalled) {
+                unsynced.add(synced);
+            } else {
+                synced.run();
+            }
         }
 
         @Override
@@ -75,7 +81,15 @@
 
     @BeforeEach
     void start() throws Exception {
-        var options = Options.read("{\"NodeName\":\"me\",\"Ip\":\"10.0.0.2\",\"Zone\":\"z\",\"ListenOn\":{},\"InternalPorts\":[7100,7115],\"SeedNodes\":[\"" + PILOT + ":1\"],\"FirstBoot\":true,\"Survive\":{\"Machines\":1}}");
+        start(true);
+        news(line(1, List.of(node.id(), "other#1"), "", 2, 1));
+        handIn("m1");
+        other("rep").forEach(frame -> node.onFrame(OTHER, Frame.of("ok").with("l", frame.small("l")).with("s", frame.number("s"))));
+        sentToOther.clear();
+    }
+
+    private void start(boolean first) throws Exception {
+        var options = Options.read("{\"NodeName\":\"me\",\"Ip\":\"10.0.0.2\",\"Zone\":\"z\",\"ListenOn\":{},\"InternalPorts\":[7100,7115],\"SeedNodes\":[\"" + PILOT + ":1\"],\"FirstBoot\":" + first + ",\"Survive\":{\"Machines\":1}}");
         node = new KeeperNode(options, clock, wire, disk, new Courier() {
             @Override
             public void deliver(Leg leg, Consumer<Outcome> done) { }
@@ -84,10 +98,6 @@
             public void forget(String address) { }
         }, 1);
         node.tick();
-        news(line(1, List.of(node.id(), "other#1"), "", 2, 1));
-        handIn("m1");
-        other("rep").forEach(frame -> node.onFrame(OTHER, Frame.of("ok").with("l", frame.small("l")).with("s", frame.number("s"))));
-        sentToOther.clear();
     }
 
     private static Layout.Line line(long epoch, List<String> copies, String joining, int need, long version) {
@@ -182,4 +192,107 @@
         node.tick();
         assertThat(other("rep")).hasSize(2);
     }
+
+    private void rep(long epoch, long seq, Frame record) {
+        node.onFrame(OTHER, Frame.unpack(Frame.of("rep").with("l", 0).with("e", epoch).with("s", seq).with("y", true).with("c", record).pack()));
+    }
+
+    private static Frame whole(String id, long epoch) {
+        return new Frame().with("k", "m").with("l", 0).with("i", id).with("t", "t").with("v", epoch << 20).with("ep", epoch).with("b", "the body".getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void joinAsk(long epoch) {
+        sentToOther.clear();
+        node.onFrame(OTHER, Frame.of("join.ask").with("line", 0).with("epoch", epoch));
+    }
+
+    private List<String> held(long epoch) {
+        joinAsk(epoch);
+        return other("join.have").get(0).frames("have").stream().map(each -> each.text("id")).toList();
+    }
+
+    @Test
+    void aPlaceOlderThanTheEpochInForceTakesNoCopyAway() {
+        joinAsk(5);
+        rep(5, (5L << 32) + 1, whole("m2", 5));
+        news(line(3, List.of("other#1", "third#1"), "", 2, 3));
+        rep(5, (5L << 32) + 2, whole("m3", 5));
+        assertThat(other("ok")).hasSize(2);
+        assertThat(other("rep.no")).isEmpty();
+        assertThat(held(6)).containsExactly("m1", "m2", "m3");
+    }
+
+    @Test
+    void aPlaceOlderThanTheEpochInForceMakesNoPrimary() {
+        joinAsk(5);
+        news(line(3, List.of(node.id(), "other#1"), "", 2, 3));
+        assertThat(node.openEpochs()).isEmpty();
+    }
+
+    @Test
+    void aCopyTellsWhatItHasOnlyWhenThatIsSynced() {
+        news(line(2, List.of("other#1", node.id()), "", 2, 2));
+        stalled = true;
+        rep(2, (2L << 32) + 1, whole("m2", 2));
+        joinAsk(3);
+        assertThat(other("join.have")).isEmpty();
+        List.copyOf(unsynced).forEach(Runnable::run);
+        assertThat(other("join.have").get(0).frames("have")).hasSize(2);
+    }
+
+    @Test
+    void aChangeOfWaitingWorkThatACopyLacksIsNotAcknowledged() {
+        news(line(2, List.of("other#1", node.id()), "", 2, 2));
+        sentToOther.clear();
+        rep(2, (2L << 32) + 1, new Frame().with("k", "u").with("l", 0).with("i", "m9").with("v", 2L << 20).with("ep", 2L));
+        assertThat(other("ok")).isEmpty();
+        assertThat(other("rep.no").get(0).text("why")).isEqualTo("unjoined");
+    }
+
+    @Test
+    void aNodeThatKnowsNoTableYetJoinsNothing() throws Exception {
+        start(false);
+        joinAsk(7);
+        assertThat(other("join.have")).isEmpty();
+    }
+
+    @Test
+    void aPrimaryThatMissedAnEpochAsksEveryCopyAgain() {
+        rejoin("0.0.1." + (1L << 20), 0, false);
+        sentToPilot.clear();
+        sentToOther.clear();
+        news(line(4, List.of(node.id()), "other#1", 1, 4));
+        assertThat(other("join.ask")).hasSize(1);
+        node.tick();
+        assertThat(sentToPilot.stream().map(Frame::kind).toList()).doesNotContain("line.level");
+    }
+
+    @Test
+    void aPrimaryThatWasFrozenAccusesNobodyBeforeItHasListened() {
+        node.tick();
+        handIn("m2");
+        nowUs += 900_000;
+        node.tick();
+        assertThat(sentToPilot.stream().map(Frame::kind).toList()).doesNotContain("line.lost");
+        for (var step = 0; step < 20; step++) {
+            nowUs += 50_000;
+            node.tick();
+            claimed();
+        }
+        assertThat(sentToPilot.stream().map(Frame::kind).toList()).contains("line.lost");
+    }
+
+    @Test
+    void aPrimaryWithoutAClaimAccusesNobody() {
+        handIn("m2");
+        for (var step = 0; step < 40; step++) {
+            nowUs += 50_000;
+            node.tick();
+        }
+        assertThat(sentToPilot.stream().map(Frame::kind).toList()).doesNotContain("line.lost");
+    }
+
+    private void claimed() {
+        node.onFrame(PILOT, Frame.unpack(Frame.of("claim.ok").with("sent", nowUs).with("core", nowUs).with("voters", List.<Object>of(PILOT)).pack()));
+    }
 }
--- /dev/null
+++ b/src/test/java/wellwheel/tide/Copies.java
@@ -0,0 +1,143 @@
+package wellwheel.tide;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import wellwheel.lantern.Frame;
+import wellwheel.lantern.Layout;
+
+final class Copies implements World.DiskEar {
+    static final long CATCH_UP_US = 4_100_000;
+    private static final int HEAD = 8;
+
+    private static final class Held {
+        String diskId = "";
+        final Map<Integer, Set<String>> lines = new HashMap<>();
+    }
+
+    private final Play play;
+    private final int survive;
+    private final Map<String, Held> disks = new HashMap<>();
+    private final Map<String, Long> lostUntilUs = new HashMap<>();
+    private final Map<Integer, Layout.Line> table = new TreeMap<>();
+    private final Map<Integer, List<Ledger.Entry>> owed = new HashMap<>();
+    final Set<String> faults = new LinkedHashSet<>();
+    int checked;
+
+    Copies(Play play, int survive) {
+        this.play = play;
+        this.survive = survive;
+        play.world.onDisk(this);
+    }
+
+    @Override
+    public void kept(World.Host host, String file, boolean anew, byte[] bytes) {
+        if (!file.equals("keeper.journal")) {
+            return;
+        }
+        if (anew) {
+            disks.remove(host.name);
+        }
+        var held = disks.computeIfAbsent(host.name, name -> new Held());
+        var buffer = ByteBuffer.wrap(bytes);
+        while (buffer.remaining() >= HEAD) {
+            var length = buffer.getInt();
+            buffer.getInt();
+            if (length <= 0 || length > buffer.remaining()) {
+                return;
+            }
+            var record = new byte[length];
+            buffer.get(record);
+            try {
+                take(held, Frame.unpack(record));
+            } catch (IllegalArgumentException torn) {
+                return;
+            }
+        }
+    }
+
+    private static void take(Held held, Frame record) {
+        switch (record.kind()) {
+            case "disk" -> held.diskId = record.text("id");
+            case "m" -> held.lines.computeIfAbsent(record.small("l"), line -> new HashSet<>()).add(record.text("i"));
+            case "f" -> held.lines.remove(record.small("line"));
+            case "x" -> held.lines.getOrDefault(record.small("line"), new HashSet<>()).remove(record.text("id"));
+            default -> { }
+        }
+    }
+
+    void loses(World.Host host, long spanUs) {
+        lostUntilUs.merge(host.name, play.world.nowUs() + spanUs + CATCH_UP_US, Math::max);
+    }
+
+    Set<String> lost() {
+        var found = new HashSet<String>();
+        lostUntilUs.forEach((name, untilUs) -> {
+            if (untilUs > play.world.nowUs()) {
+                found.add(name);
+            }
+        });
+        return found;
+    }
+
+    int room() {
+        return survive - lost().size();
+    }
+
+    void check() {
+        play.oneActs();
+        play.world.upHosts("pilot").forEach(host -> host.pilot().lines().forEach((number, line) -> table.merge(number, line, (a, b) -> a.epoch() >= b.epoch() ? a : b)));
+        if (checked++ % 10 == 0) {
+            owed.clear();
+            play.ledger.entries.values().stream().filter(Copies::unended).forEach(entry -> owed.computeIfAbsent(lineOf(entry), line -> new ArrayList<>()).add(entry));
+        }
+        var lost = lost();
+        owed.forEach((number, entries) -> check(table.get(number), entries, lost));
+    }
+
+    private static boolean unended(Ledger.Entry entry) {
+        return entry.acceptedUs < Long.MAX_VALUE && entry.successes == 0 && entry.fails == 0;
+    }
+
+    private static int lineOf(Ledger.Entry entry) {
+        return Integer.parseInt(entry.name.substring(0, entry.name.indexOf('-')));
+    }
+
+    private void check(Layout.Line line, List<Ledger.Entry> entries, Set<String> lost) {
+        var safe = new int[entries.size()];
+        for (var id : line.copies()) {
+            var node = id.substring(0, id.indexOf('#'));
+            var held = Optional.ofNullable(disks.get(node)).filter(disk -> id.endsWith("#" + disk.diskId)).map(disk -> disk.lines.getOrDefault(line.number(), Set.of()));
+            for (var at = 0; held.isPresent() && at < safe.length; at++) {
+                var entry = entries.get(at);
+                if (!held.get().contains(entry.id) && unended(entry)) {
+                    fault("HOLLOW " + line + ": " + id + " counts as a copy and lacks " + entry.id);
+                }
+                safe[at] += held.get().contains(entry.id) && !lost.contains(node) ? 1 : 0;
+            }
+        }
+        var least = Math.max(1, survive - lost.size() + 1);
+        for (var at = 0; at < safe.length; at++) {
+            if (safe[at] < least && unended(entries.get(at))) {
+                fault("THIN " + line + ": " + safe[at] + " of " + least + " copies of " + entries.get(at).id + ", lost " + lost);
+            }
+        }
+    }
+
+    private void fault(String what) {
+        if (faults.size() < 5) {
+            faults.add(what + " at us=" + play.world.nowUs());
+        }
+    }
+
+    void run(long spanUs) {
+        play.world.runFor(spanUs, this::check);
+    }
+}
