Retirement ends on whole lines, a leaver stops joining, a last resort keeps data

Cause: `Retire.Read` said `finished` as soon as no line named the machine, also when a line went on with n copies after that machine's own trouble, with the next copy not level, or under a leader that had not heard the keepers yet. A keeper that was joining a line and got SIGTERM (or a retirement) stayed the one that fills it until its grace was over. A line whose only copy was lost for good started empty although the copy that joined it held all of it. A primary back from a cut accused copies of silence before it had sent again what the cut had swallowed.

Now `finished` needs a settled leader and n + 1 live copies of every line elsewhere; a joiner that may not stay is replaced as soon as another can join; a line without a copy goes on from its joiner; and after its own trouble a primary sends what is owed again first.

Ruled out: a retirement ordered while a loss is repaired moves nothing before the line has its copies (`relieve` comes last in `repair`); the copy a balance or a retirement drops goes only in the change that takes the level one in.

--- a/src/main/java/wellwheel/keeper/KeeperNode.java
+++ b/src/main/java/wellwheel/keeper/KeeperNode.java
@@ -335,7 +335,8 @@
             if (pending.owing.isEmpty() || nowUs - pending.sentUs < RESEND_US) {
                 continue;
             }
-            var again = pending.owing.stream().filter(node -> nowUs - pending.sentUs > RESEND_ALIVE_US || brokenUs.getOrDefault(claim.layout().ipOf(node), Long.MIN_VALUE) >= pending.sentUs).toList();
+            var backInTouch = pending.sentUs < inTouchSinceUs && inTouchSinceUs < nowUs;
+            var again = pending.owing.stream().filter(node -> backInTouch || nowUs - pending.sentUs > RESEND_ALIVE_US || brokenUs.getOrDefault(claim.layout().ipOf(node), Long.MIN_VALUE) >= pending.sentUs).toList();
             if (!again.isEmpty()) {
                 pending.sentUs = nowUs;
                 again.forEach(node -> sendRep(line, pending, node));
--- a/src/main/java/wellwheel/pilot/PilotNode.java
+++ b/src/main/java/wellwheel/pilot/PilotNode.java
@@ -822,7 +822,7 @@
             return Optional.of(line.with(live, joins ? line.joining() : pick(live, line.copies(), keepers, weights), afterLoss()));
         }
         if (!line.joining().isEmpty()) {
-            return joined(line).or(() -> joins ? Optional.empty() : Optional.of(line.with(line.copies(), "", line.need())));
+            return joined(line).or(() -> joins ? joinsInstead(line, keepers, weights) : Optional.of(line.with(line.copies(), "", line.need())));
         }
         if (live.size() < full()) {
             var joining = pick(live, live, keepers, weights);
@@ -831,6 +831,14 @@
         return relieve(line, keepers, weights);
     }
 
+    private Optional<Layout.Line> joinsInstead(Layout.Line line, List<String> keepers, Map<String, Integer> weights) {
+        if (keepers.contains(line.joining())) {
+            return Optional.empty();
+        }
+        var other = pick(line.copies(), line.copies(), keepers, weights);
+        return other.isEmpty() ? Optional.empty() : Optional.of(line.with(line.copies(), other, line.need()));
+    }
+
     private Optional<Layout.Line> relieve(Layout.Line line, List<String> keepers, Map<String, Integer> weights) {
         if (keepers.containsAll(line.copies())) {
             return Optional.empty();
@@ -897,8 +905,9 @@
         if (!line.copies().stream().allMatch(this::reborn) || keepers.isEmpty()) {
             return Optional.empty();
         }
-        LOG.log(System.Logger.Level.ERROR, "code=" + Codes.LINE_LOST.number() + " line " + line.number() + " has no copy left and starts empty");
-        var primary = List.of(keepers.get(line.number() % keepers.size()));
+        var last = alive(line.joining()) ? line.joining() : "";
+        LOG.log(System.Logger.Level.ERROR, "code=" + Codes.LINE_LOST.number() + " line " + line.number() + " has no copy left and starts " + (last.isEmpty() ? "empty" : "from what " + last + " has of it"));
+        var primary = List.of(last.isEmpty() ? keepers.get(line.number() % keepers.size()) : last);
         return Optional.of(line.with(primary, pick(primary, primary, keepers, weights), full()));
     }
 
@@ -1137,12 +1146,16 @@
                 if (!retiring.contains(node)) {
                     return Reply.of(Codes.NO_NODE, "not retiring: " + node);
                 }
-                var holds = lines.values().stream().anyMatch(line -> nodeOf(line.joining()).equals(node) || line.copies().stream().anyMatch(id -> nodeOf(id).equals(node)));
-                return new Reply(Codes.FINE, "", ("{\"State\":\"" + (holds ? "running" : "finished") + "\"}").getBytes(StandardCharsets.UTF_8));
+                var finished = settled() && lines.values().stream().allMatch(line -> standsWithout(line, node));
+                return new Reply(Codes.FINE, "", ("{\"State\":\"" + (finished ? "finished" : "running") + "\"}").getBytes(StandardCharsets.UTF_8));
             }
         });
     }
 
+    private boolean standsWithout(Layout.Line line, String node) {
+        return !nodeOf(line.joining()).equals(node) && line.copies().size() >= full() && line.copies().stream().allMatch(id -> alive(id) && !nodeOf(id).equals(node));
+    }
+
     public synchronized boolean wantsRoster() {
         if (!raft.leadsFreshly()) {
             return false;
