--- a/src/main/java/wellwheel/tide/World.java
+++ b/src/main/java/wellwheel/tide/World.java
@@ -263,6 +263,16 @@
         }
     }
 
+    public interface DiskEar {
+        void kept(Host host, String file, boolean anew, byte[] bytes);
+    }
+
+    private DiskEar diskEar = (host, file, anew, bytes) -> { };
+
+    public void onDisk(DiskEar ear) {
+        diskEar = ear;
+    }
+
     private static final class SimWrite {
         final byte[] bytes;
         final boolean whole;
@@ -277,14 +287,17 @@
         final ByteArrayOutputStream synced = new ByteArrayOutputStream();
         final List<SimWrite> written = new ArrayList<>();
 
-        void settle(int count) {
+        void settle(int count, Consumer<SimWrite> ear) {
             var done = written.subList(0, count);
-            done.forEach(write -> put(synced, write));
+            done.forEach(write -> {
+                put(synced, write);
+                ear.accept(write);
+            });
             done.clear();
         }
 
-        void settleUpTo(SimWrite write) {
-            settle(written.indexOf(write) + 1);
+        void settleUpTo(SimWrite write, Consumer<SimWrite> ear) {
+            settle(written.indexOf(write) + 1, ear);
         }
 
         byte[] seen() {
@@ -357,14 +370,14 @@
             file(name).written.add(write);
             freeAtUs = Math.max(freeAtUs, nowUs + syncTimes * shape.syncUs() * host.diskTimes);
             at(freeAtUs, () -> host.awake(life, () -> {
-                file(name).settleUpTo(write);
+                file(name).settleUpTo(write, done -> diskEar.kept(host, name, done.whole, done.bytes));
                 synced.run();
             }));
         }
 
         Disk bind(Host host, int life) {
             freeAtUs = nowUs;
-            files.values().forEach(file -> file.settle(file.written.size()));
+            files.forEach((name, file) -> file.settle(file.written.size(), done -> diskEar.kept(host, name, done.whole, done.bytes)));
             return new Disk() {
                 @Override
                 public byte[] load(String name) {
@@ -668,11 +681,13 @@
         host.end();
         host.powered = false;
         host.disk.losePower();
+        host.disk.files.forEach((name, file) -> diskEar.kept(host, name, true, file.synced.toByteArray()));
         after(darkUs, () -> restart(host));
     }
 
     public void wipe(Host host, long darkUs) {
         powerOff(host, darkUs);
+        host.disk.files.keySet().forEach(name -> diskEar.kept(host, name, true, new byte[0]));
         host.disk.files.clear();
     }
 
