--- a/src/test/java/wellwheel/pilot/Mischief.java
+++ b/src/test/java/wellwheel/pilot/Mischief.java
@@ -141,13 +141,14 @@
     }
 
     private void strike(Machine machine) {
-        switch (luck.nextInt(14)) {
+        switch (luck.nextInt(15)) {
             case 0, 1, 2 -> freeze(machine);
             case 12, 13 -> twisted(machine);
             case 3, 4, 5 -> cut(machine);
             case 6 -> kill(machine);
             case 7 -> powerLoss(machine);
             case 8 -> wiped(machine);
+            case 14 -> damaged(machine);
             case 9 -> replaced(machine);
             case 10 -> slowLink(machine);
             default -> slowDisk(machine);
@@ -237,6 +238,14 @@
         backAfter(machine, spanUs);
     }
 
+    private void damaged(Machine machine) {
+        var spanUs = spanUs();
+        tell("disk of " + machine.ip + " damaged, back in " + spanUs + " us");
+        world.powerOff(machine);
+        machine.disk.damage();
+        backAfter(machine, spanUs);
+    }
+
     private void replaced(Machine machine) {
         var spanUs = luck.nextInt(8_000_000);
         tell(machine.ip + " gone for good, another in " + spanUs + " us");
--- a/src/test/java/wellwheel/pilot/ModelDisk.java
+++ b/src/test/java/wellwheel/pilot/ModelDisk.java
@@ -151,6 +151,17 @@
         files.clear();
     }
 
+    /** One byte of what had been synced is another, before its last quarter. */
+    void damage() {
+        for (var file : files.values()) {
+            var bytes = file.synced.toByteArray();
+            if (bytes.length > 0) {
+                bytes[luck.nextInt(1 + bytes.length * 3 / 4)] ^= (byte) (1 << luck.nextInt(8));
+                file.become(bytes);
+            }
+        }
+    }
+
     private void stop() {
         starts++;
         batch.clear();
