--- a/src/test/java/wellwheel/lantern/FileDiskTest.java
+++ b/src/test/java/wellwheel/lantern/FileDiskTest.java
@@ -25,6 +25,8 @@
 import org.junit.jupiter.api.io.TempDir;
 
 class FileDiskTest {
+    private static final int SEEDS = Integer.getInteger("disk.seeds", 4_000);
+
     private static final class Stopped extends IOException { }
 
     private record Piece(int at, byte[] bytes) { }
@@ -246,7 +248,7 @@
 
     @Test
     void whatWasAcknowledgedIsThereWhereverPowerGoesOrTheProcessDies() {
-        for (var seed = 0; seed < 4_000; seed++) {
+        for (var seed = 0; seed < SEEDS; seed++) {
             var luck = new Random(seed);
             var volume = new Model(luck);
             var expected = new Expected();
@@ -307,7 +309,7 @@
 
     @Test
     void aJournalHoldsItsAcknowledgedRecordsAndNeverCallsALossOfPowerDamage() throws IOException {
-        for (var seed = 0; seed < 4_000; seed++) {
+        for (var seed = 0; seed < SEEDS; seed++) {
             var luck = new Random(seed);
             var volume = new Model(luck);
             var all = new ArrayList<Integer>();
