--- a/src/main/java/wellwheel/pilot/Raft.java
+++ b/src/main/java/wellwheel/pilot/Raft.java
@@ -336,7 +336,9 @@
     }
 
     private Optional<String> goer(long nowUs) {
-        var silent = voters.stream().filter(followers::containsKey).filter(ip -> followers.get(ip).silentUs(nowUs) > SILENT_VOTER_US).findFirst();
+        var mostUs = voters.size() > target ? ELECTION_US : SILENT_VOTER_US;
+        var silent = voters.stream().filter(followers::containsKey).filter(ip -> followers.get(ip).silentUs(nowUs) > mostUs)
+            .max((a, b) -> Long.compare(followers.get(a).silentUs(nowUs), followers.get(b).silentUs(nowUs)));
         return silent.or(() -> voters.stream().filter(followers::containsKey).filter(ip -> followers.get(ip).leaving).findFirst());
     }
 
