A pushed table builds on what was pushed before, and who missed that asks for all

A push holds only the lines changed since the push before, but its version was taken for that of the whole table, so the keeper never heard of the other lines; where it was their primary they stayed shut until something else changed them. The same held for any node that lost a push on a broken link. `news` now carries `since`, the version it builds on; who has less takes no lines from it and renews its claim, whose answer has all.

Second cause, found by the new schedule below: of two copies of one line that restarted at once only one was taken out to join again; the other stood in the table as a copy, refusing records, until the next record of the line, and was then missing from it long after its loss had ceased to count. The leader now remembers who restarted and takes each out in turn.

--- a/src/main/java/wellwheel/lantern/Claim.java
+++ b/src/main/java/wellwheel/lantern/Claim.java
@@ -156,7 +156,8 @@
     private void takeNews(Frame frame) {
         var changed = takeCharter(frame);
         var lines = frame.frames("lines");
-        if (!lines.isEmpty()) {
+        var missed = frame.number("since") > layout.version();
+        if (!lines.isEmpty() && !missed) {
             layout = layout.withLines(lines.stream().map(Layout.Line::read).toList());
             changed = true;
         }
@@ -177,6 +178,9 @@
         if (changed) {
             onNews.run();
         }
+        if (missed && answered) {
+            renew();
+        }
     }
 
     private boolean takeCharter(Frame frame) {
--- a/src/main/java/wellwheel/pilot/PilotNode.java
+++ b/src/main/java/wellwheel/pilot/PilotNode.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -81,6 +82,7 @@
     private final Set<String> retiring = new LinkedHashSet<>();
     private final Map<String, Holder> holders = new LinkedHashMap<>();
     private final Map<String, Long> joinReports = new HashMap<>();
+    private final Set<String> restarted = new HashSet<>();
     private long memberVersion;
     private long rosterVersion;
     private List<Layout.Processor> roster = List.of();
@@ -167,6 +169,7 @@
             if (old == null ? line.epoch() == 1 : old.epoch() + 1 == line.epoch()) {
                 lines.put(line.number(), line.at(index));
                 linesVersion = index;
+                restarted.removeIf(key -> key.startsWith(line.number() + "/") && !line.copies().contains(key.substring(key.indexOf("/") + 1)));
             }
         }
         pushNews();
@@ -198,6 +201,7 @@
         ledSinceUs = clock.steadyUs();
         holders.clear();
         joinReports.clear();
+        restarted.clear();
         wanted.clear();
         planning = false;
         shifts.forgetMemory();
@@ -283,7 +287,10 @@
         }
         if (!holder.life.equals(frame.text("life"))) {
             holder.life = frame.text("life");
-            lines.values().stream().filter(line -> line.backups().contains(id)).forEach(line -> want(without(line, id)));
+            lines.values().stream().filter(line -> line.backups().contains(id)).forEach(line -> {
+                restarted.add(line.number() + "/" + id);
+                want(without(line, id));
+            });
         }
         holder.heardUs = nowUs;
         holder.leaving = frame.flag("leaving");
@@ -326,7 +333,7 @@
             pushedShifts = shiftsVersion;
             return;
         }
-        var news = Frame.of("news");
+        var news = Frame.of("news").with("since", pushedLines);
         fill(news, pushedRevision, pushedLines, pushedMembers, pushedRoster, pushedShifts);
         pushedShifts = shiftsVersion;
         pushedRevision = charter().revision();
@@ -791,6 +798,10 @@
         if (!line.joining().isEmpty()) {
             return joined(line).or(() -> joins ? joinsInstead(line, keepers, weights) : Optional.of(line.with(line.copies(), "", line.need())));
         }
+        var again = live.stream().filter(id -> restarted.contains(line.number() + "/" + id)).findFirst();
+        if (again.isPresent() && line.backups().contains(again.get())) {
+            return Optional.of(without(line, again.get()));
+        }
         if (live.size() < full()) {
             var joining = pick(live, live, keepers, weights);
             return joining.isEmpty() ? Optional.empty() : Optional.of(line.with(live, joining, line.need()));
--- a/src/test/java/wellwheel/keeper/KeeperNodeTest.java
+++ b/src/test/java/wellwheel/keeper/KeeperNodeTest.java
@@ -364,6 +364,16 @@
         assertThat(sentToPilot.stream().map(Frame::kind).toList()).doesNotContain("line.lost");
     }
 
+    @Test
+    void newsThatBuildsOnATableNeverHeardIsAskedForWhole() throws Exception {
+        start(false);
+        claimed();
+        sentToPilot.clear();
+        node.onFrame(PILOT, Frame.unpack(Frame.of("news").with("since", 5L).with("lines", List.of(line(2, List.of("other#1", "third#1"), "", 2, 6).frame())).pack()));
+        assertThat(node.claim().layout().lines()).isEmpty();
+        assertThat(sentToPilot.stream().filter(frame -> frame.kind().equals("claim")).map(frame -> frame.number("lay")).toList()).containsExactly(0L);
+    }
+
     private void claimed() {
         node.onFrame(PILOT, Frame.unpack(Frame.of("claim.ok").with("sent", nowUs).with("core", nowUs).with("voters", List.<Object>of(PILOT)).pack()));
     }
--- a/src/test/java/wellwheel/tide/LinesTest.java
+++ b/src/test/java/wellwheel/tide/LinesTest.java
@@ -177,6 +177,28 @@
             days.round();
         }
         days.fine();
+        days.copies.run(7 * SECOND);
+        knowTheTable(days);
+    }
+
+    private static void knowTheTable(Days days) {
+        var table = table(days);
+        days.play.world.upHosts("keeper").forEach(host -> table.forEach((number, line) -> assertWithMessage(host.name).that(host.keeper().claim().layout().line(number)).isEqualTo(Optional.of(line))));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {241, 242, 243, 244})
+    void whoRestartsWhileTheTableChangesKnowsAllOfIt(long seed) {
+        var days = new Days(seed, World.Shape.four());
+        for (var round = 0; round < 3; round++) {
+            days.sound().subList(0, 2).forEach(host -> {
+                days.copies.loses(host, 600_000);
+                days.play.world.kill(host);
+            });
+            days.copies.run(6 * SECOND);
+            knowTheTable(days);
+        }
+        days.fine();
     }
 
     private static Map<Integer, Layout.Line> table(Days days) {
