Questions of a leader: their numbers begin at random, so a former life's answers find none

Cause: gathers and step orders were numbered from 1 in every life of a pilot, so a late answer to a former life's question could answer another operator's. Shown by GatherTest, which fails with numbers from 1.

--- a/src/main/java/wellwheel/pilot/PilotNode.java
+++ b/src/main/java/wellwheel/pilot/PilotNode.java
@@ -107,6 +107,7 @@
         this.clock = clock;
         this.wire = wire;
         coreOffsetUs = clock.wallUs() - clock.steadyUs();
+        lastGather = (seed & 0x7fffffffL) << 20;
         var seeds = options.seeds().stream().map(Options::hostOf).toList();
         raft = new Raft(options.ip(), seeds, 2 * options.survive() + 1, options.firstBoot(), clock, wire, disk, this, seed);
     }
