--- a/src/test/java/wellwheel/pilot/ControlPointsTest.java
+++ b/src/test/java/wellwheel/pilot/ControlPointsTest.java
@@ -322,6 +322,25 @@
         sound(play);
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {0, 250_000})
+    void aMemberThatHasSyncedNothingIsNoVoter(int padding) {
+        var play = ControlPlay.still(Shape.three(), 3, padding);
+        for (var i = 0; i < (padding > 0 ? 60 : 5); i++) {
+            changed(play);
+        }
+        assertThat(leader(play).raft().view().snapIndex() > 0).isEqualTo(padding > 0);
+        play.world.removeForGood(others(play, leader(play)).get(0));
+        var fresh = play.world.startEmpty("pilot");
+        fresh.disk.slow(20_000, 400);
+        play.world.runFor(10 * SECOND);
+        assertThat(leader(play).raft().voters()).doesNotContain(fresh.ip);
+        fresh.disk.slow(1, 400);
+        play.world.runFor(50 * SECOND);
+        assertThat(leader(play).raft().voters()).contains(fresh.ip);
+        sound(play);
+    }
+
     /** Its own address may stand among the seeds of a machine that comes back empty. */
     @ParameterizedTest
     @MethodSource("few")
--- a/src/test/java/wellwheel/pilot/ControlWorld.java
+++ b/src/test/java/wellwheel/pilot/ControlWorld.java
@@ -549,6 +549,9 @@
         machine.frozenUntilUs = nowUs + spanUs;
         machine.thaw = thaw;
         at(machine.frozenUntilUs, machine::thawNow);
+        if (spanUs > SILENT_US) {
+            connectionsEnd(machine, SILENT_US);
+        }
     }
 
     Cut cut(List<Machine> side, Ways ways, boolean holds, long breaksAfterUs) {
@@ -577,6 +580,15 @@
     void kill(Machine machine) {
         machine.disk.processDies();
         machine.end();
+        connectionsEnd(machine, 1_000);
+    }
+
+    /** Whoever had a connection to it hears that it is over: at once from a dead process, late from a silent machine. */
+    private void connectionsEnd(Machine machine, long waitUs) {
+        links.values().stream().filter(link -> link.to == machine).forEach(link -> {
+            var life = link.from.life;
+            after(waitUs + delayUs(), () -> link.from.awake(life, "down", () -> link.from.hearDown(machine.ip)));
+        });
     }
 
     void killAndRestart(Machine machine, long downUs) {
@@ -588,6 +600,7 @@
         machine.disk.powerDies();
         machine.end();
         machine.powered = false;
+        connectionsEnd(machine, SILENT_US);
         links.values().stream().filter(link -> link.from == machine).forEach(link -> {
             link.heldUp.clear();
             link.queue.clear();
