--- a/src/test/java/wellwheel/pilot/ControlPointsTest.java
+++ b/src/test/java/wellwheel/pilot/ControlPointsTest.java
@@ -227,6 +227,28 @@
         sound(play);
     }
 
+    /** The old leader dies as its answer arrives; the new one holds the entry, and disks are slow. */
+    @ParameterizedTest
+    @MethodSource("few")
+    void aNewLeaderAnswersNothingBeforeAllIsApplied(long seed) {
+        for (var round = 0; round < 6; round++) {
+            var play = ControlPlay.still(Shape.three(), seed * 10 + round, 0);
+            changed(play);
+            var old = leader(play);
+            var rest = others(play, old);
+            play.world.members().forEach(each -> each.disk.slow(30, 400));
+            play.operators.call(Optional.of(play.operators.proper(play.orders.confirmedNumber())), old.ip);
+            play.operators.onAcknowledged(() -> play.world.powerOff(old));
+            play.world.runFor(SECOND / 2);
+            for (var i = 0; i < 600; i++) {
+                play.world.after(i * 2_000L, () -> rest.forEach(each -> askAllKinds(play, each)));
+            }
+            play.world.runFor(3 * SECOND);
+            play.world.startAgain(old);
+            sound(play);
+        }
+    }
+
     private static Machine drawn(ControlPlay play, List<Machine> from) {
         return from.get(play.world.luck.nextInt(from.size()));
     }
@@ -356,6 +378,7 @@
             var play = ControlPlay.still(round % 2 == 0 ? Shape.five() : Shape.three(), seed * 100 + round, 0);
             changed(play);
             var old = leader(play);
+            var damages = round % 4 > 1;
             var rest = new ArrayList<>(others(play, old));
             Collections.shuffle(rest, play.world.luck);
             var lacking = rest.subList(0, play.world.shape.survive());
@@ -365,8 +388,8 @@
             var cut = play.world.cut(lacking, Ways.BOTH, false, 0);
             play.operators.call(Optional.of(play.operators.proper(play.orders.confirmedNumber())), old.ip);
             play.operators.onAcknowledged(() -> {
-                holding.subList(0, play.world.shape.survive()).forEach(play.world::wipe);
                 play.world.members().stream().filter(each -> each.up).forEach(play.world::powerOff);
+                holding.subList(0, play.world.shape.survive()).forEach(damages ? each -> each.disk.damage() : each -> each.disk.wipe());
                 play.world.members().forEach(each -> play.world.after(400_000 + play.world.luck.nextInt(600_000), () -> play.world.startAgain(each)));
             });
             play.world.runFor(SECOND / 5);
