--- a/src/test/java/wellwheel/pilot/ControlModelTest.java
+++ b/src/test/java/wellwheel/pilot/ControlModelTest.java
@@ -9,7 +9,7 @@
 
 class ControlModelTest {
     static LongStream seeds() {
-        return Optional.ofNullable(Long.getLong("control.seed")).map(LongStream::of).orElseGet(() -> LongStream.range(Long.getLong("control.from", 1), Long.getLong("control.from", 1) + Long.getLong("control.seeds", 40)));
+        return Optional.ofNullable(Long.getLong("control.seed")).map(LongStream::of).orElseGet(() -> LongStream.range(Long.getLong("control.from", 1), Long.getLong("control.from", 1) + Long.getLong("control.seeds", 60)));
     }
 
     @ParameterizedTest
--- a/src/test/java/wellwheel/pilot/ControlPointsTest.java
+++ b/src/test/java/wellwheel/pilot/ControlPointsTest.java
@@ -26,7 +26,7 @@
     private static final long MOST_IN_A_FRAME = 160 << 10;
 
     static LongStream few() {
-        return LongStream.rangeClosed(1, 4);
+        return LongStream.rangeClosed(1, 6);
     }
 
     private static void sound(ControlPlay play) {
@@ -70,7 +70,7 @@
     @ParameterizedTest
     @EnumSource(Order.class)
     void aFrozenLeaderTellsNothingOldWhenItThaws(Order order) {
-        for (var seed = 1; seed <= 16; seed++) {
+        for (var seed = 1; seed <= 24; seed++) {
             var play = ControlPlay.still(Shape.three(), seed, 0);
             var old = leaderAmidARound(play);
             play.world.freeze(old, 20 * SECOND, order);
