--- a/src/test/java/wellwheel/tide/LinesTest.java
+++ b/src/test/java/wellwheel/tide/LinesTest.java
@@ -68,7 +68,8 @@
         void harm(World.Host host) {
             var spanUs = 200_000 + luck(2_300_000);
             switch (luck(7)) {
-                case 0, 1 -> wipe(host, 300_000 + luck(700_000));
+                case 0 -> wipe(host, 300_000 + luck(700_000));
+                case 1 -> replace(host, luck(800_000));
                 case 2 -> {
                     copies.loses(host, 600_000);
                     play.world.kill(host);
@@ -107,6 +108,17 @@
             }
         }
 
+        private void replace(World.Host host, long waitUs) {
+            copies.loses(host, waitUs);
+            drop(host);
+            play.world.after(waitUs, this::join);
+        }
+
+        private void drop(World.Host host) {
+            play.world.remove(host);
+            copies.kept(host, "keeper.journal", true, new byte[0]);
+        }
+
         void wipe(World.Host host, long darkUs) {
             copies.loses(host, darkUs);
             play.powerLost = true;
@@ -150,8 +162,7 @@
             retiring.ifPresent(host -> play.world.leader().ifPresent(leader -> leader.pilot().retireState(host.name, reply -> told.add(new String(reply.body())))));
             copies.run(20_000);
             if (told.stream().anyMatch(state -> state.contains("finished"))) {
-                play.world.remove(retiring.get());
-                copies.kept(retiring.get(), "keeper.journal", true, new byte[0]);
+                drop(retiring.get());
                 retiring = Optional.empty();
                 sound().stream().limit(copies.room()).forEach(host -> wipe(host, SECOND / 2));
             }
