A new leader's first list of members replaces nobody's; a disk surely gone is repaired at once

Now who holds a former leader's list keeps it until the new one has settled (1.6 s); who has none, or one of this term, gets each change. Ruled out: remembering addresses at the nodes (keeps lapsed keepers in the choice of line and leaves the count of galleries wrong). Cause 2: after a loss of all power a new leader waited 1.6 s for disks that cannot come back, as another disk of the same node had claimed already. Lines whose missing copies are all of that kind are repaired at once.

--- a/src/main/java/wellwheel/pilot/PilotNode.java
+++ b/src/main/java/wellwheel/pilot/PilotNode.java
@@ -29,6 +29,7 @@
     private static final long KEEPER_CLAIM_US = 1_200_000;
     private static final long DOWN_CLAIM_US = 500_000;
     private static final int HOLDERS_MOST = 4096;
+    private static final int TERM_BITS = 24;
     private static final int BALANCED_AT_ONCE = 8;
     private static final long HISTORY_MOST_US = 400L * 86_400_000_000L;
     private static final long HISTORY_ASK_US = 500_000;
@@ -63,6 +64,7 @@
     private static final class Holder {
         Layout.Member member;
         long heardUs;
+        long knows;
         boolean leaving;
         String life = "";
         long downUs = Long.MAX_VALUE / 2;
@@ -208,8 +210,8 @@
         shifts.forgetMemory();
         warnings.clear();
         shiftPending.clear();
-        memberVersion = raft.term() << 24;
-        rosterVersion = raft.term() << 24;
+        memberVersion = raft.term() << TERM_BITS;
+        rosterVersion = raft.term() << TERM_BITS;
         firstKeeperUs = Long.MAX_VALUE / 2;
     }
 
@@ -261,7 +263,7 @@
         synchronized (this) {
             renew(from, frame);
             shifts.hear(frame.text("id"), frame.frames("tally"));
-            fill(answer, frame.number("rev"), frame.number("lay"), frame.number("mem"), frame.number("ros"), frame.number("shi"));
+            fill(answer, frame.number("rev"), frame.number("lay"), tells(frame.number("mem")) ? frame.number("mem") : memberVersion, frame.number("ros"), frame.number("shi"));
         }
         wire.send(from, answer);
     }
@@ -294,6 +296,7 @@
             });
         }
         holder.heardUs = nowUs;
+        holder.knows = frame.number("mem");
         holder.leaving = frame.flag("leaving");
         holder.downUs = Long.MAX_VALUE / 2;
     }
@@ -321,6 +324,12 @@
         }
     }
 
+    private static final List<String> NEWS = List.of("config", "lines", "shifts", "roster");
+
+    private boolean tells(long known) {
+        return known == 0 || known >> TERM_BITS == raft.term() || settled();
+    }
+
     private long pushedRevision;
     private long pushedLines;
     private long pushedMembers;
@@ -334,14 +343,21 @@
             pushedShifts = shiftsVersion;
             return;
         }
-        var news = Frame.of("news").with("since", pushedLines);
-        fill(news, pushedRevision, pushedLines, pushedMembers, pushedRoster, pushedShifts);
+        var newsToAll = news(memberVersion);
+        var newsWithMembers = news(pushedMembers);
         pushedShifts = shiftsVersion;
         pushedRevision = charter().revision();
         pushedLines = linesVersion;
         pushedMembers = memberVersion;
         pushedRoster = rosterVersion;
-        holders.values().forEach(holder -> wire.send(holder.member.ip(), news));
+        var toAll = NEWS.stream().anyMatch(newsToAll::has);
+        holders.values().stream().filter(holder -> toAll || tells(holder.knows)).forEach(holder -> wire.send(holder.member.ip(), tells(holder.knows) ? newsWithMembers : newsToAll));
+    }
+
+    private Frame news(long members) {
+        var news = Frame.of("news").with("since", pushedLines);
+        fill(news, pushedRevision, pushedLines, members, pushedRoster, pushedShifts);
+        return news;
     }
 
     public synchronized void tick() {
@@ -769,14 +785,14 @@
     }
 
     private List<Layout.Line> repairs(List<String> keepers) {
-        if (!settled()) {
-            return lines.values().stream().filter(line -> alive(line.joining()) && line.copies().stream().allMatch(this::alive)).map(this::joined).flatMap(Optional::stream).toList();
-        }
         var weights = new HashMap<String, Integer>();
         lines.values().forEach(line -> {
             line.copies().forEach(id -> weights.merge(id, 1, Integer::sum));
             weights.merge(line.joining(), 1, Integer::sum);
         });
+        if (!settled()) {
+            return lines.values().stream().map(line -> beforeSettled(line, keepers, weights)).flatMap(Optional::stream).toList();
+        }
         var changes = new ArrayList<Layout.Line>();
         var calm = true;
         for (var line : lines.values()) {
@@ -787,6 +803,15 @@
         return calm ? balance(keepers) : changes;
     }
 
+    private Optional<Layout.Line> beforeSettled(Layout.Line line, List<String> keepers, Map<String, Integer> weights) {
+        var live = line.copies().stream().filter(this::alive).toList();
+        if (live.size() == line.copies().size()) {
+            return alive(line.joining()) ? joined(line) : Optional.empty();
+        }
+        var lostForGood = line.copies().stream().allMatch(id -> live.contains(id) || reborn(id));
+        return live.isEmpty() || !lostForGood ? Optional.empty() : Optional.of(line.with(live, pick(live, line.copies(), keepers, weights), afterLoss()));
+    }
+
     private Optional<Layout.Line> repair(Layout.Line line, List<String> keepers, Map<String, Integer> weights) {
         var live = line.copies().stream().filter(this::alive).toList();
         if (live.isEmpty()) {
