--- a/src/main/java/wellwheel/pilot/Warnings.java
+++ b/src/main/java/wellwheel/pilot/Warnings.java
@@ -148,18 +148,19 @@
     }
 
     private void judge(String key, String name, Tenant tenant, Map<String, Tenant> all, long nowUs) {
-        var standsStill = tenant.frontUs >= STANDS * tenant.oldestUs;
+        var others = all.entrySet().stream().filter(e -> !e.getKey().equals(name)).map(Map.Entry::getValue).toList();
+        var floods = tenant.arrivals > FLOOD * Math.max(1, median(others.stream().map(each -> each.arrivals).toList()));
+        var standsStill = floods || tenant.frontUs >= STANDS * tenant.oldestUs;
         if (tenant.waiting == 0 || tenant.aimUs == 0 || tenant.oldestUs < tenant.aimUs * ROOM || !standsStill || all.values().stream().anyMatch(each -> each.backlog)) {
             return;
         }
-        var peers = all.entrySet().stream().filter(e -> !e.getKey().equals(name) && (e.getValue().waiting > 0 || e.getValue().frontUs < tenant.oldestUs)).map(Map.Entry::getValue).toList();
+        var peers = others.stream().filter(each -> each.waiting > 0 || each.frontUs < tenant.oldestUs).toList();
         var overtook = peers.stream().filter(peer -> peer.frontUs < OVERTAKEN * tenant.oldestUs && peer.frontWaitUs * FAR < tenant.oldestUs).toList();
-        if (overtook.size() * 2 <= peers.size()) {
+        if (overtook.size() * 2 < peers.size() + (floods ? 0 : 1)) {
             return;
         }
         var peersUs = median(overtook.stream().map(peer -> (double) peer.frontWaitUs).toList());
-        var usual = median(peers.stream().map(peer -> peer.arrivals).toList());
-        var cause = tenant.arrivals > FLOOD * Math.max(1, usual) ? "its own backlog: it sends far more than its peers" : tenant.nodes.size() == 1 ? "held back at one keeper" : "held back at several keepers";
+        var cause = floods ? "its own backlog: it sends far more than its peers" : tenant.nodes.size() == 1 ? "held back at one keeper" : "held back at several keepers";
         var cut = key.indexOf('\n');
         raise(new Warning(Kind.UNFAIR, key.substring(0, cut), name, Integer.parseInt(key.substring(cut + 1)), tenant.nodes, tenant.lines, tenant.oldestUs, (long) peersUs, nowUs, nowUs, cause));
     }
--- a/src/test/java/wellwheel/tide/WatchTest.java
+++ b/src/test/java/wellwheel/tide/WatchTest.java
@@ -10,7 +10,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class WatchTest {
@@ -94,8 +96,12 @@
         assertWithMessage("%s", bell.heard).that(bell.of("worker")).isEmpty();
     }
 
+    static LongStream floods() {
+        return LongStream.rangeClosed(201, 240);
+    }
+
     @ParameterizedTest
-    @ValueSource(longs = {202, 204})
+    @MethodSource("floods")
     void floodIsNamedAsItsOwnBacklog(long seed) {
         var play = new Play(seed).up();
         var bell = new Bell(play);
