--- a/src/test/java/wellwheel/gallery/GalleryNodeTest.java
+++ b/src/test/java/wellwheel/gallery/GalleryNodeTest.java
@@ -8,9 +8,9 @@
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
-import wellwheel.lantern.Clock;
 import wellwheel.lantern.Exchange;
 import wellwheel.lantern.Frame;
+import wellwheel.lantern.HandClock;
 import wellwheel.lantern.Layout;
 import wellwheel.lantern.Options;
 
@@ -24,24 +24,8 @@
 
     private record Sent(String ip, Frame frame) { }
 
-    private long nowUs = 10_000_000;
     private final List<Sent> sent = new ArrayList<>();
-    private final Clock clock = new Clock() {
-        @Override
-        public long steadyUs() {
-            return nowUs;
-        }
-
-        @Override
-        public long wallUs() {
-            return nowUs;
-        }
-
-        @Override
-        public Schedule after(long waitUs, Runnable task) {
-            return () -> { };
-        }
-    };
+    private final HandClock clock = new HandClock();
 
     private static final class Client implements Exchange {
         private final String method;
@@ -99,7 +83,7 @@
         node.tick();
         var members = List.of(new Layout.Member("k#1", "keeper", KEEPER, "z"), new Layout.Member("o#1", "keeper", OTHER, "z"));
         var lines = List.of(new Layout.Line(0, 1, List.of("k#1", "o#1"), "", 2, 1).frame(), new Layout.Line(1, 1, List.of("o#1", "k#1"), "", 2, 1).frame());
-        var frame = Frame.of("claim.ok").with("sent", nowUs).with("core", nowUs).with("voters", List.<Object>of(PILOT)).with("rev", 1).with("config", CONFIG.getBytes(StandardCharsets.UTF_8))
+        var frame = Frame.of("claim.ok").with("sent", clock.nowUs).with("core", clock.nowUs).with("voters", List.<Object>of(PILOT)).with("rev", 1).with("config", CONFIG.getBytes(StandardCharsets.UTF_8))
             .with("mem", 1).with("members", members.stream().map(Layout.Member::frame).toList()).with("lines", lines);
         node.onFrame(PILOT, Frame.unpack(frame.pack()));
         return node;
@@ -160,14 +144,14 @@
         var first = asked("put").get(0);
         node.onDown(first.ip());
         node.onUnsent(first.ip(), first.frame());
-        nowUs += 60_000;
+        clock.nowUs += 60_000;
         node.tick();
         node.onFrame(first.ip(), Frame.of("put.ok").with("rid", first.frame().number("rid")).with("r", "no"));
-        nowUs += 60_000;
+        clock.nowUs += 60_000;
         node.tick();
         assertThat(asked("put").stream().map(each -> each.frame().number("l")).distinct().toList()).containsExactly(first.frame().number("l"));
-        nowUs += 2_100_000;
-        node.onFrame(PILOT, Frame.of("claim.ok").with("sent", nowUs).with("core", nowUs));
+        clock.nowUs += 2_100_000;
+        node.onFrame(PILOT, Frame.of("claim.ok").with("sent", clock.nowUs).with("core", clock.nowUs));
         node.tick();
         assertThat(client.statuses()).containsExactly(504);
     }
--- /dev/null
+++ b/src/test/java/wellwheel/lantern/HandClock.java
@@ -0,0 +1,20 @@
+package wellwheel.lantern;
+
+public final class HandClock implements Clock {
+    public long nowUs = 10_000_000;
+
+    @Override
+    public long steadyUs() {
+        return nowUs;
+    }
+
+    @Override
+    public long wallUs() {
+        return nowUs;
+    }
+
+    @Override
+    public Schedule after(long waitUs, Runnable task) {
+        return () -> { };
+    }
+}
--- a/src/test/java/wellwheel/lantern/JournalTest.java
+++ b/src/test/java/wellwheel/lantern/JournalTest.java
@@ -12,31 +12,7 @@
 import org.junit.jupiter.api.Test;
 
 class JournalTest {
-    private static final class Memory implements Disk {
-        byte[] bytes = {};
-
-        @Override
-        public byte[] load(String name) {
-            return bytes;
-        }
-
-        @Override
-        public void append(String name, byte[] more, Runnable synced) {
-            var out = new ByteArrayOutputStream();
-            out.writeBytes(bytes);
-            out.writeBytes(more);
-            bytes = out.toByteArray();
-            synced.run();
-        }
-
-        @Override
-        public void rewrite(String name, byte[] whole, Runnable synced) {
-            bytes = whole;
-            synced.run();
-        }
-    }
-
-    private static List<String> replayed(Memory disk) {
+    private static List<String> replayed(MemoryDisk disk) {
         var found = new ArrayList<String>();
         new Journal(disk, "j").replay(record -> found.add(new String(record)));
         return found;
@@ -44,7 +20,7 @@
 
     @Test
     void everyTornTailIsCutAtTheLastWholeRecord() {
-        var disk = new Memory();
+        var disk = new MemoryDisk();
         var journal = new Journal(disk, "j");
         var ends = new ArrayList<Integer>();
         for (var number = 0; number < 20; number++) {
@@ -64,7 +40,7 @@
     @Test
     void noFlippedBitIsReadAsARecord() {
         var luck = new Random(7);
-        var disk = new Memory();
+        var disk = new MemoryDisk();
         var journal = new Journal(disk, "j");
         for (var number = 0; number < 20; number++) {
             journal.append(("record " + number).getBytes(), () -> { });
@@ -83,7 +59,7 @@
 
     @Test
     void aRewrittenJournalHoldsTheRewriteAndWhatFollows() {
-        var disk = new Memory();
+        var disk = new MemoryDisk();
         var journal = new Journal(disk, "j");
         journal.append("old".getBytes(), () -> { });
         journal.rewrite(List.of("kept".getBytes()), () -> { });
@@ -125,8 +101,8 @@
         }
     }
 
-    private static Memory holding(byte[] bytes) {
-        var disk = new Memory();
+    private static MemoryDisk holding(byte[] bytes) {
+        var disk = new MemoryDisk();
         disk.bytes = bytes;
         return disk;
     }
@@ -205,7 +181,7 @@
 
     @Test
     void theFirstRecordAfterALostDiskReplacesTheWholeFile() {
-        var disk = new Memory();
+        var disk = new MemoryDisk();
         var journal = new Journal(disk, "j", "me");
         for (var number = 0; number < 5; number++) {
             journal.append(("record " + number).getBytes(), () -> { });
@@ -222,7 +198,7 @@
 
     @Test
     void aJournalOfTheFormerFormatIsReadAndGrows() {
-        var disk = new Memory();
+        var disk = new MemoryDisk();
         var old = new ByteArrayOutputStream();
         List.of("old 1", "old 2").forEach(text -> old.writeBytes(JournalReader.plain(text.getBytes())));
         old.writeBytes(new byte[] {0, 0, 0, 9, 1, 2});
@@ -243,7 +219,7 @@
     void aNewerFormatOrAnotherNodesJournalIsRefused() {
         var newer = JournalReader.plain(new byte[] {(byte) 0xC1, 3, 'm', 'e'});
         assertThat(assertThrows(Journal.Unreadable.class, () -> replay(newer, new ArrayList<>())).code()).isEqualTo(Codes.BAD_STATE);
-        var disk = new Memory();
+        var disk = new MemoryDisk();
         new Journal(disk, "j", "other").append("a vote".getBytes(), () -> { });
         var before = disk.bytes.clone();
         var refusal = assertThrows(Journal.Unreadable.class, () -> replay(disk.bytes, new ArrayList<>()));
@@ -270,7 +246,7 @@
 
     @Test
     void aRecordMovedToAnotherPlaceOrFoundInsideABodyProvesNothing() {
-        var disk = new Memory();
+        var disk = new MemoryDisk();
         var journal = new Journal(disk, "j", "me");
         journal.append("first".getBytes(), () -> { });
         var torn = disk.bytes.clone();
@@ -284,7 +260,7 @@
 
     @Test
     void aRecordCostsNoMoreThanItDid() {
-        var disk = new Memory();
+        var disk = new MemoryDisk();
         var journal = new Journal(disk, "j", "me");
         journal.append(new byte[300], () -> { });
         var before = disk.bytes.length;
--- a/src/test/java/wellwheel/pilot/GatherTest.java
+++ b/src/test/java/wellwheel/pilot/GatherTest.java
@@ -6,50 +6,17 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
-import wellwheel.lantern.Clock;
-import wellwheel.lantern.Disk;
 import wellwheel.lantern.Frame;
+import wellwheel.lantern.HandClock;
+import wellwheel.lantern.MemoryDisk;
 import wellwheel.lantern.Options;
 import wellwheel.lantern.Wire;
 
 class GatherTest {
     private static final String KEEPER = "10.0.0.5";
     private final List<Frame> asked = new ArrayList<>();
-    private long nowUs = 10_000_000;
 
-    private final Clock clock = new Clock() {
-        @Override
-        public long steadyUs() {
-            return nowUs;
-        }
-
-        @Override
-        public long wallUs() {
-            return nowUs;
-        }
-
-        @Override
-        public Schedule after(long waitUs, Runnable task) {
-            return () -> { };
-        }
-    };
-
-    private final Disk disk = new Disk() {
-        @Override
-        public byte[] load(String name) {
-            return new byte[0];
-        }
-
-        @Override
-        public void append(String name, byte[] bytes, Runnable synced) {
-            synced.run();
-        }
-
-        @Override
-        public void rewrite(String name, byte[] whole, Runnable synced) {
-            synced.run();
-        }
-    };
+    private final HandClock clock = new HandClock();
 
     private PilotNode leader(long seed) throws Options.Unusable {
         var options = Options.read("{\"NodeName\":\"core\",\"Ip\":\"10.0.0.1\",\"Zone\":\"z\",\"ListenOn\":{\"Control\":\"10.0.0.1:1\"},\"InternalPorts\":[7100,7115],\"SeedNodes\":[\"10.0.0.1:1\"],\"FirstBoot\":true,\"Survive\":{\"Machines\":0}}");
@@ -58,12 +25,12 @@
                 asked.add(frame);
             }
         };
-        var node = new PilotNode(options, clock, wire, disk, seed);
+        var node = new PilotNode(options, clock, wire, new MemoryDisk(), seed);
         for (var step = 0; step < 40; step++) {
-            nowUs += 50_000;
+            clock.nowUs += 50_000;
             node.tick();
         }
-        node.onFrame(KEEPER, Frame.of("claim").with("id", "k#1").with("role", "keeper").with("zone", "z").with("life", "1").with("sent", nowUs));
+        node.onFrame(KEEPER, Frame.of("claim").with("id", "k#1").with("role", "keeper").with("zone", "z").with("life", "1").with("sent", clock.nowUs));
         return node;
     }
 
--- a/src/test/java/wellwheel/pilot/RaftJournalTest.java
+++ b/src/test/java/wellwheel/pilot/RaftJournalTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -12,37 +11,13 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import wellwheel.lantern.Clock;
-import wellwheel.lantern.Disk;
 import wellwheel.lantern.Frame;
+import wellwheel.lantern.MemoryDisk;
 
 class RaftJournalTest {
     private static final List<String> SEEDS = List.of("10.0.0.1", "10.0.0.2", "10.0.0.3");
     private static final int TERMS = 30;
 
-    private static final class Memory implements Disk {
-        byte[] bytes = {};
-
-        @Override
-        public byte[] load(String name) {
-            return bytes;
-        }
-
-        @Override
-        public void append(String name, byte[] more, Runnable synced) {
-            var out = new ByteArrayOutputStream();
-            out.writeBytes(bytes);
-            out.writeBytes(more);
-            bytes = out.toByteArray();
-            synced.run();
-        }
-
-        @Override
-        public void rewrite(String name, byte[] whole, Runnable synced) {
-            bytes = whole;
-            synced.run();
-        }
-    }
-
     private static final class Quiet implements Raft.Host {
         @Override
         public void apply(long index, byte[] command) { }
@@ -88,7 +63,7 @@
     };
 
     private final List<Frame> sent = new ArrayList<>();
-    private final Memory disk = new Memory();
+    private final MemoryDisk disk = new MemoryDisk();
 
     private Raft raft(boolean firstBoot) {
         return new Raft(SEEDS.get(0), SEEDS, 3, firstBoot, STILL, (ip, frame) -> sent.add(frame), disk, new Quiet(), 1);
