Keepers: an ask that comes before the table waits for it in place of being dropped

Cause: since a keeper that has heard no table yet joins nothing, an ask of a new primary that came a few ms before its table was lost and came again only after 1.5 s over a sound link. Now the ask is kept and answered when the table comes, by the same check of epochs. Shown by KeeperNodeTest.

--- a/src/main/java/wellwheel/keeper/KeeperNode.java
+++ b/src/main/java/wellwheel/keeper/KeeperNode.java
@@ -95,6 +95,7 @@
         final int number;
         Layout.Line place;
         boolean seen;
+        Optional<Runnable> askedUnseen = Optional.empty();
         boolean open;
         boolean member;
         boolean comparing;
@@ -377,6 +378,8 @@
             var line = line(place.number());
             if (place.version() > line.place.version()) {
                 moved(line, place);
+                line.askedUnseen.ifPresent(Runnable::run);
+                line.askedUnseen = Optional.empty();
             }
         }
         refreshDesks();
@@ -757,7 +760,11 @@
     private void onJoinAsk(String from, Frame frame) {
         var line = line(frame.small("line"));
         var epoch = frame.number("epoch");
-        if (!line.seen || epoch < line.epoch || line.open && epoch <= line.epoch) {
+        if (!line.seen) {
+            line.askedUnseen = Optional.of(() -> onJoinAsk(from, frame));
+            return;
+        }
+        if (epoch < line.epoch || line.open && epoch <= line.epoch) {
             return;
         }
         line.epoch = epoch;
--- a/src/test/java/wellwheel/keeper/KeeperNodeTest.java
+++ b/src/test/java/wellwheel/keeper/KeeperNodeTest.java
@@ -328,6 +328,18 @@
         assertThat(other("join.have")).isEmpty();
     }
 
+    @Test
+    void anAskThatComesBeforeTheTableIsAnsweredWhenTheTableComes() throws Exception {
+        start(false);
+        joinAsk(2);
+        news(line(2, List.of("other#1", node.id()), "", 2, 2));
+        assertThat(other("join.have").stream().map(frame -> frame.number("epoch")).toList()).containsExactly(2L);
+        start(false);
+        joinAsk(2);
+        news(line(3, List.of("other#1", node.id()), "", 2, 3));
+        assertThat(other("join.have")).isEmpty();
+    }
+
     @Test
     void aPrimaryThatMissedAnEpochAsksEveryCopyAgain() {
         rejoin("0.0.1." + (1L << 20), 0, false);
