--- a/src/main/java/wellwheel/lighthouse/Warmup.java
+++ b/src/main/java/wellwheel/Warmup.java
@@ -1,5 +1,10 @@
-package wellwheel.lighthouse;
+package wellwheel;
 
+import wellwheel.config.NodeOptions;
+import wellwheel.control.ControlDaemon;
+import wellwheel.edge.EdgeDaemon;
+import wellwheel.queue.StorageDaemon;
+import wellwheel.runtime.NodeRuntime;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -10,11 +15,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.util.List;
-import wellwheel.gallery.Gallery;
-import wellwheel.keeper.Keeper;
-import wellwheel.lantern.Options;
-import wellwheel.lantern.Station;
-import wellwheel.pilot.Pilot;
 
 final class Warmup {
     private static final long LONGEST_MS = 8_000;
@@ -29,10 +29,10 @@
         var control = freePort();
         var inner = freePort();
         var folder = Files.createTempDirectory("wellwheel-warmup").toString();
-        new Pilot(Station.with(options("pilot", "127.0.0.1", folder + "/pilot", inner, control, front)));
-        new Keeper(Station.with(options("one", "127.0.0.2", folder + "/one", inner, control, front)));
-        new Keeper(Station.with(options("two", "127.0.0.3", folder + "/two", inner, control, front)));
-        new Gallery(Station.with(options("edge", "127.0.0.4", "", inner, control, front)));
+        new ControlDaemon(NodeRuntime.with(options("control", "127.0.0.1", folder + "/control", inner, control, front)));
+        new StorageDaemon(NodeRuntime.with(options("one", "127.0.0.2", folder + "/one", inner, control, front)));
+        new StorageDaemon(NodeRuntime.with(options("two", "127.0.0.3", folder + "/two", inner, control, front)));
+        new EdgeDaemon(NodeRuntime.with(options("edge", "127.0.0.4", "", inner, control, front)));
         exercise(URI.create("http://127.0.0.1:" + control + "/Config.Replace"), URI.create("http://127.0.0.4:" + front + "/x"));
         System.exit(0);
     }
@@ -43,8 +43,8 @@
         }
     }
 
-    private static Options options(String name, String ip, String folder, int inner, int control, int front) throws Exception {
-        return Options.read("{\"NodeName\":\"" + name + "\",\"Ip\":\"" + ip + "\",\"Zone\":\"z\",\"ListenOn\":{\"Control\":\"" + ip + ":" + control + "\",\"FrontHttp\":\"" + ip + ":" + front
+    private static NodeOptions options(String name, String ip, String folder, int inner, int control, int front) throws Exception {
+        return NodeOptions.read("{\"NodeName\":\"" + name + "\",\"Ip\":\"" + ip + "\",\"Zone\":\"z\",\"ListenOn\":{\"Control\":\"" + ip + ":" + control + "\",\"FrontHttp\":\"" + ip + ":" + front
             + "\",\"Readiness\":\"" + ip + ":" + control + "\"},\"InternalPorts\":[" + inner + "," + inner + "],\"SeedNodes\":[\"127.0.0.1:" + control + "\"],\"FirstBoot\":true,\"Survive\":{\"Machines\":0},\"DataDir\":\"" + folder + "\"}");
     }
 
--- a/src/main/java/wellwheel/tender/Control.java
+++ b/src/main/java/wellwheel/cli/ControlClient.java
@@ -1,4 +1,4 @@
-package wellwheel.tender;
+package wellwheel.cli;
 
 import dev.failsafe.Failsafe;
 import dev.failsafe.FailsafeException;
@@ -13,7 +13,7 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
-final class Control {
+final class ControlClient {
     static {
         System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
     }
@@ -44,8 +44,8 @@
     private final HttpClient client = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
     private final AtomicInteger turn = new AtomicInteger();
 
-    Control(List<String> addresses, Duration patience) {
-        this.addresses = addresses.stream().map(Control::address).toList();
+    ControlClient(List<String> addresses, Duration patience) {
+        this.addresses = addresses.stream().map(ControlClient::address).toList();
         this.patience = patience;
     }
 
--- a/src/main/java/wellwheel/tender/HistoryCalls.java
+++ b/src/main/java/wellwheel/cli/HistoryCommands.java
@@ -1,5 +1,8 @@
-package wellwheel.tender;
+package wellwheel.cli;
 
+import wellwheel.forecast.Forecast;
+import wellwheel.forecast.Season;
+import wellwheel.forecast.Sizing;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
@@ -15,11 +18,8 @@
 import java.util.Optional;
 import java.util.function.Predicate;
 import picocli.CommandLine.Option;
-import wellwheel.forecast.Forecast;
-import wellwheel.forecast.Season;
-import wellwheel.forecast.Sizing;
 
-final class HistoryCalls {
+final class HistoryCommands {
     private static final int HORIZON_MOST = 14 * 24;
     private static final String SPAN = "([0-9]{1,4})([hdw])";
 
@@ -40,10 +40,10 @@
         Path config;
     }
 
-    private final Tender tender;
+    private final WellwheelCtl tender;
     private final Choice choice;
 
-    HistoryCalls(Tender tender, Choice choice) {
+    HistoryCommands(WellwheelCtl tender, Choice choice) {
         this.tender = tender;
         this.choice = choice;
     }
@@ -52,13 +52,13 @@
         try {
             return Instant.parse(text);
         } catch (DateTimeParseException e) {
-            throw new Tender.Failure(Tender.USAGE, "not a time: " + text);
+            throw new WellwheelCtl.Failure(WellwheelCtl.USAGE, "not a time: " + text);
         }
     }
 
     private static Duration span(String text) {
         if (!text.matches(SPAN)) {
-            throw new Tender.Failure(Tender.USAGE, "not a span: " + text);
+            throw new WellwheelCtl.Failure(WellwheelCtl.USAGE, "not a span: " + text);
         }
         var count = Long.parseLong(text.replaceAll(SPAN, "$1"));
         return switch (text.charAt(text.length() - 1)) {
@@ -71,15 +71,15 @@
     private JsonObject found() {
         if (choice.file != null) {
             try {
-                return JsonParser.parseString(new String(Tender.file(choice.file), StandardCharsets.UTF_8)).getAsJsonObject();
+                return JsonParser.parseString(new String(WellwheelCtl.file(choice.file), StandardCharsets.UTF_8)).getAsJsonObject();
             } catch (JsonParseException | IllegalStateException e) {
-                throw new Tender.Failure(Tender.INVALID, choice.file + ": not a whole JSON object");
+                throw new WellwheelCtl.Failure(WellwheelCtl.INVALID, choice.file + ": not a whole JSON object");
             }
         }
         var to = choice.to == null ? Instant.now() : time(choice.to);
         var from = choice.from == null ? to.minus(span(choice.last)) : time(choice.from);
         if (!from.isBefore(to) || from.toEpochMilli() < 0) {
-            throw new Tender.Failure(Tender.USAGE, "--from must lie before --to");
+            throw new WellwheelCtl.Failure(WellwheelCtl.USAGE, "--from must lie before --to");
         }
         return tender.read("/History.Read?from=" + from.toEpochMilli() * 1000 + "&to=" + to.toEpochMilli() * 1000);
     }
@@ -100,10 +100,10 @@
 
     private void known(Season season) {
         if (choice.service != null && !season.services().contains(choice.service)) {
-            throw new Tender.Failure(Tender.UNKNOWN, "no history of service " + choice.service);
+            throw new WellwheelCtl.Failure(WellwheelCtl.UNKNOWN, "no history of service " + choice.service);
         }
         if (choice.tenant != null && season.teams().stream().noneMatch(team -> team.tenant().equals(choice.tenant))) {
-            throw new Tender.Failure(Tender.UNKNOWN, "no history of team " + choice.tenant);
+            throw new WellwheelCtl.Failure(WellwheelCtl.UNKNOWN, "no history of team " + choice.tenant);
         }
     }
 
@@ -113,7 +113,7 @@
             known(season);
             return season;
         } catch (Season.Invalid e) {
-            throw new Tender.Failure(Tender.REFUSED, e.getMessage());
+            throw new WellwheelCtl.Failure(WellwheelCtl.REFUSED, e.getMessage());
         }
     }
 
@@ -173,7 +173,7 @@
     }
 
     private Map<String, Double> aims() {
-        var config = choice.file == null ? tender.read("/Config.Read") : choice.config == null ? new JsonObject() : JsonParser.parseString(new String(Tender.file(choice.config), StandardCharsets.UTF_8)).getAsJsonObject();
+        var config = choice.file == null ? tender.read("/Config.Read") : choice.config == null ? new JsonObject() : JsonParser.parseString(new String(WellwheelCtl.file(choice.config), StandardCharsets.UTF_8)).getAsJsonObject();
         var aims = new HashMap<String, Double>();
         if (config.has("Routing")) {
             config.getAsJsonArray("Routing").forEach(each -> {
@@ -188,13 +188,13 @@
 
     void forecast(int horizonH, int backtestDays) {
         if (horizonH < 1 || horizonH > HORIZON_MOST || backtestDays < 0 || backtestDays > 365) {
-            throw new Tender.Failure(Tender.USAGE, "--horizon is 1 to " + HORIZON_MOST + " hours, --backtest 0 to 365 days");
+            throw new WellwheelCtl.Failure(WellwheelCtl.USAGE, "--horizon is 1 to " + HORIZON_MOST + " hours, --backtest 0 to 365 days");
         }
         var season = season(found());
         try {
             tender.show(backtestDays > 0 ? backtest(season, backtestDays) : ahead(season, horizonH));
         } catch (Season.Invalid e) {
-            throw new Tender.Failure(Tender.REFUSED, e.getMessage());
+            throw new WellwheelCtl.Failure(WellwheelCtl.REFUSED, e.getMessage());
         }
     }
 
--- a/src/main/java/wellwheel/tender/Tender.java
+++ b/src/main/java/wellwheel/cli/WellwheelCtl.java
@@ -1,5 +1,7 @@
-package wellwheel.tender;
+package wellwheel.cli;
 
+import wellwheel.config.Configuration;
+import wellwheel.runtime.ResultCode;
 import com.google.gson.GsonBuilder;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
@@ -25,12 +27,10 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.ScopeType;
 import picocli.CommandLine.Spec;
-import wellwheel.lantern.Charter;
-import wellwheel.lantern.Codes;
 
-@Command(name = "tender", description = "Operates a wellwheel.", mixinStandardHelpOptions = true, version = "tender 0.1", synopsisSubcommandLabel = "COMMAND",
-    subcommands = {Tender.Config.class, Tender.Retire.class, Tender.ShiftOrders.class, Tender.MessageCalls.class})
-public final class Tender implements Runnable {
+@Command(name = "wellwheelctl", description = "Operates a wellwheel.", mixinStandardHelpOptions = true, version = "wellwheelctl 0.1", synopsisSubcommandLabel = "COMMAND",
+    subcommands = {WellwheelCtl.Config.class, WellwheelCtl.Retire.class, WellwheelCtl.ShiftOrders.class, WellwheelCtl.MessageCalls.class})
+public final class WellwheelCtl implements Runnable {
     static final int FINE = 0;
     static final int USAGE = 2;
     static final int UNREACHABLE = 3;
@@ -66,8 +66,8 @@
     }
 
     static CommandLine line(PrintWriter out, PrintWriter err) {
-        return new CommandLine(new Tender()).setOut(out).setErr(err).setExecutionExceptionHandler((e, line, parsed) -> {
-            line.getErr().println("tender: " + (e instanceof Failure ? e.getMessage() : e.getClass().getSimpleName() + ": " + e.getMessage()));
+        return new CommandLine(new WellwheelCtl()).setOut(out).setErr(err).setExecutionExceptionHandler((e, line, parsed) -> {
+            line.getErr().println("wellwheelctl: " + (e instanceof Failure ? e.getMessage() : e.getClass().getSimpleName() + ": " + e.getMessage()));
             return e instanceof Failure failure ? failure.status : 1;
         });
     }
@@ -82,17 +82,17 @@
         return spec.commandLine().getOut();
     }
 
-    Control.Answer call(String method, String target, List<String> headers, byte[] body) {
+    ControlClient.Answer call(String method, String target, List<String> headers, byte[] body) {
         try {
-            return checked(new Control(control, Duration.ofSeconds(Math.max(1, Math.min(3600, waitS)))).call(method, target, headers, body));
+            return checked(new ControlClient(control, Duration.ofSeconds(Math.max(1, Math.min(3600, waitS)))).call(method, target, headers, body));
         } catch (IllegalArgumentException e) {
             throw new Failure(USAGE, e.getMessage());
-        } catch (Control.Unreachable e) {
+        } catch (ControlClient.Unreachable e) {
             throw new Failure(UNREACHABLE, e.getMessage());
         }
     }
 
-    private static Control.Answer checked(Control.Answer answer) {
+    private static ControlClient.Answer checked(ControlClient.Answer answer) {
         if (answer.status() / 100 == 2) {
             return answer;
         }
@@ -100,7 +100,7 @@
         throw new Failure(status, answer.status() + ": " + why(answer));
     }
 
-    private static String why(Control.Answer answer) {
+    private static String why(ControlClient.Answer answer) {
         try {
             return JsonParser.parseString(answer.text()).getAsJsonObject().get("Error").getAsString();
         } catch (RuntimeException e) {
@@ -177,7 +177,7 @@
         table(read("/Nodes.Read"), "Nodes");
     }
 
-    @Command(name = "lines", description = "Lines with epoch, copies and what is missing.")
+    @Command(name = "partitions", description = "Lines with epoch, copies and what is missing.")
     void lines() {
         table(read("/Lines.Read"), "Lines");
     }
@@ -217,19 +217,19 @@
     }
 
     @Command(name = "history", description = "What the queues went through, by interval, team and service.")
-    void history(@Mixin HistoryCalls.Choice choice, @Option(names = "--late", description = "only intervals in which more than a twentieth started late") boolean late) {
-        new HistoryCalls(this, choice).history(late);
+    void history(@Mixin HistoryCommands.Choice choice, @Option(names = "--late", description = "only intervals in which more than a twentieth started late") boolean late) {
+        new HistoryCommands(this, choice).history(late);
     }
 
     @Command(name = "forecast", description = "The accelerator capacity that each team's work will need.")
-    void forecast(@Mixin HistoryCalls.Choice choice, @Option(names = "--horizon", defaultValue = "24", paramLabel = "H", description = "hours ahead; default ${DEFAULT-VALUE}") int horizonH,
+    void forecast(@Mixin HistoryCommands.Choice choice, @Option(names = "--horizon", defaultValue = "24", paramLabel = "H", description = "hours ahead; default ${DEFAULT-VALUE}") int horizonH,
                   @Option(names = "--backtest", defaultValue = "0", paramLabel = "DAYS", description = "check it on the last days instead, each forecast from what came before") int backtestDays) {
-        new HistoryCalls(this, choice).forecast(horizonH, backtestDays);
+        new HistoryCommands(this, choice).forecast(horizonH, backtestDays);
     }
 
     @Command(name = "codes", description = "The table of result codes.")
     void codes() {
-        for (var code : Codes.values()) {
+        for (var code : ResultCode.values()) {
             out().println(code.number() + "  " + (code.status() == 0 ? "log" : code.status()) + "  " + code.meaning());
         }
     }
@@ -237,7 +237,7 @@
     @Command(name = "config", description = "Reads, checks and replaces the configuration.", synopsisSubcommandLabel = "COMMAND")
     static final class Config implements Runnable {
         @CommandLine.ParentCommand
-        Tender tender;
+        WellwheelCtl tender;
 
         @Override
         public void run() {
@@ -249,9 +249,9 @@
             tender.out().println(tender.call("GET", "/Config.Read", List.of(), new byte[0]).text());
         }
 
-        @Command(name = "validate", description = "Checks a file as a pilot would, without one; names all faults.")
+        @Command(name = "validate", description = "Checks a file as a control node would, without one; names all faults.")
         void validate(@Parameters(paramLabel = "FILE") Path path) {
-            var faults = Charter.faults(file(path));
+            var faults = Configuration.faults(file(path));
             faults.forEach(fault -> tender.spec.commandLine().getErr().println(path + ": " + fault));
             if (!faults.isEmpty()) {
                 throw new Failure(INVALID, faults.size() + (faults.size() == 1 ? " fault" : " faults"));
@@ -262,7 +262,7 @@
         @Command(name = "put", description = "Puts a file in force on top of the version it builds on.")
         void put(@Parameters(paramLabel = "FILE") Path path, @Option(names = "--based-on", required = true, paramLabel = "N") long base) {
             var bytes = file(path);
-            var faults = Charter.faults(bytes);
+            var faults = Configuration.faults(bytes);
             if (!faults.isEmpty()) {
                 throw new Failure(INVALID, path + ": " + faults.get(0));
             }
@@ -312,7 +312,7 @@
     static final class Retire implements Runnable {
         private static final long POLL_MS = 500;
         @CommandLine.ParentCommand
-        Tender tender;
+        WellwheelCtl tender;
 
         @Override
         public void run() {
@@ -339,14 +339,14 @@
         }
     }
 
-    @Command(name = "shift", description = "Moves work to a new handler version, step by step.", synopsisSubcommandLabel = "COMMAND")
+    @Command(name = "rollout", description = "Moves work to a new handler version, step by step.", synopsisSubcommandLabel = "COMMAND")
     static final class ShiftOrders implements Runnable {
         @CommandLine.ParentCommand
-        Tender tender;
+        WellwheelCtl tender;
 
         @Override
         public void run() {
-            throw new Failure(USAGE, "shift status, set, start, hold, resume or revert");
+            throw new Failure(USAGE, "rollout status, set, start, hold, resume or revert");
         }
 
         private void order(String call, String service, byte[] body, List<String> headers) {
@@ -364,7 +364,7 @@
             order("Set", service, file(path), base == null ? List.of() : List.of("Based-On-Version", base.toString()));
         }
 
-        @Command(name = "start", description = "Starts a shift to a version; also to one that was taken back.")
+        @Command(name = "start", description = "Starts a rollout to a version; also to one that was taken back.")
         void start(@Parameters(paramLabel = "SERVICE") String service, @Parameters(paramLabel = "VERSION") String version) {
             order("Start", service, version.getBytes(StandardCharsets.UTF_8), List.of());
         }
@@ -385,29 +385,29 @@
         }
     }
 
-    @Command(name = "message", description = "Asks a gallery for a message's state or body.", synopsisSubcommandLabel = "COMMAND")
+    @Command(name = "message", description = "Asks an edge node for a message's state or body.", synopsisSubcommandLabel = "COMMAND")
     static final class MessageCalls implements Runnable {
         @CommandLine.ParentCommand
-        Tender tender;
+        WellwheelCtl tender;
 
         @Override
         public void run() {
             throw new Failure(USAGE, "message state or body");
         }
 
-        private String ask(String kind, String name, String gallery, String host, String key) {
-            tender.control = List.of(gallery);
+        private String ask(String kind, String name, String edge, String host, String key) {
+            tender.control = List.of(edge);
             return tender.call("GET", "/" + kind + "/" + part(name), List.of("Host", host, "Authorization", "Bearer " + key), new byte[0]).text();
         }
 
         @Command(name = "state")
-        void state(@Parameters(paramLabel = "ID") String name, @Option(names = "--gallery", required = true) String gallery, @Option(names = "--host", required = true) String host, @Option(names = "--key", required = true) String key) {
-            tender.show(JsonParser.parseString(ask("message", name, gallery, host, key)));
+        void state(@Parameters(paramLabel = "ID") String name, @Option(names = "--edge", required = true) String edge, @Option(names = "--host", required = true) String host, @Option(names = "--key", required = true) String key) {
+            tender.show(JsonParser.parseString(ask("message", name, edge, host, key)));
         }
 
         @Command(name = "body")
-        void body(@Parameters(paramLabel = "ID") String name, @Option(names = "--gallery", required = true) String gallery, @Option(names = "--host", required = true) String host, @Option(names = "--key", required = true) String key) {
-            tender.out().print(ask("message-body", name, gallery, host, key));
+        void body(@Parameters(paramLabel = "ID") String name, @Option(names = "--edge", required = true) String edge, @Option(names = "--host", required = true) String host, @Option(names = "--key", required = true) String key) {
+            tender.out().print(ask("message-body", name, edge, host, key));
             tender.out().flush();
         }
     }
--- a/src/main/java/wellwheel/lantern/Claim.java
+++ b/src/main/java/wellwheel/cluster/ClusterLease.java
@@ -1,61 +1,65 @@
-package wellwheel.lantern;
+package wellwheel.cluster;
 
+import wellwheel.config.Configuration;
+import wellwheel.runtime.Clock;
+import wellwheel.transport.Frame;
+import wellwheel.transport.Network;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
 
-public final class Claim {
+public final class ClusterLease {
     private static final System.Logger LOG = System.getLogger("claim");
     private static final long RENEW_US = 400_000;
     private static final long RETRY_US = 120_000;
     private final Clock clock;
-    private final Wire wire;
+    private final Network wire;
     private final String id;
     private final Supplier<Frame> introduction;
     private final Runnable onNews;
-    private final List<String> pilots = new ArrayList<>();
+    private final List<String> controlNodes = new ArrayList<>();
     private int guess;
     private long askedUs = Long.MIN_VALUE / 2;
     private boolean answered = true;
     private long confirmedUs = Long.MIN_VALUE / 2;
     private long coreOffsetUs;
     private boolean coreKnown;
-    private Charter charter = Charter.NONE;
-    private Layout layout = Layout.NONE;
+    private Configuration configuration = Configuration.NONE;
+    private ClusterView view = ClusterView.NONE;
     private long rosterVersion;
-    private List<Layout.Processor> roster = List.of();
+    private List<ClusterView.Processor> roster = List.of();
     private long shiftsVersion;
-    private List<Shift> shifts = List.of();
+    private List<Rollout> rollouts = List.of();
 
-    public Claim(Clock clock, Wire wire, String id, List<String> seeds, Supplier<Frame> introduction, Runnable onNews) {
+    public ClusterLease(Clock clock, Network wire, String id, List<String> seeds, Supplier<Frame> introduction, Runnable onNews) {
         this.clock = clock;
         this.wire = wire;
         this.id = id;
         this.introduction = introduction;
         this.onNews = onNews;
-        pilots.addAll(seeds);
+        controlNodes.addAll(seeds);
         guess = Math.floorMod(id.hashCode(), seeds.size());
     }
 
-    public Charter charter() {
-        return charter;
+    public Configuration configuration() {
+        return configuration;
     }
 
-    public Layout layout() {
-        return layout;
+    public ClusterView view() {
+        return view;
     }
 
-    public List<Layout.Processor> roster() {
+    public List<ClusterView.Processor> roster() {
         return roster;
     }
 
-    public List<Shift> shifts() {
-        return shifts;
+    public List<Rollout> rollouts() {
+        return rollouts;
     }
 
-    public String pilot() {
-        return pilots.get(guess);
+    public String control() {
+        return controlNodes.get(guess);
     }
 
     public long ageUs() {
@@ -76,7 +80,7 @@
             return;
         }
         if (!answered) {
-            guess = (guess + 1) % pilots.size();
+            guess = (guess + 1) % controlNodes.size();
         }
         renew();
     }
@@ -88,12 +92,12 @@
     public void renew() {
         askedUs = clock.steadyUs();
         answered = false;
-        wire.send(pilot(), introduction.get().with("id", id).with("sent", askedUs).with("rev", charter.revision())
-            .with("lay", layout.version()).with("mem", layout.memberVersion()).with("ros", rosterVersion).with("shi", shiftsVersion));
+        wire.send(control(), introduction.get().with("id", id).with("sent", askedUs).with("rev", configuration.revision())
+            .with("lay", view.version()).with("mem", view.memberVersion()).with("ros", rosterVersion).with("shi", shiftsVersion));
     }
 
     public void onDown(String ip) {
-        if (ip.equals(pilot()) && !answered) {
+        if (ip.equals(control()) && !answered) {
             askedUs = Math.min(askedUs, clock.steadyUs() - RETRY_US + 50_000);
         }
     }
@@ -116,35 +120,35 @@
         var nowUs = clock.steadyUs();
         confirmedUs = frame.number("sent");
         answered = true;
-        if (!pilot().equals(from)) {
+        if (!control().equals(from)) {
             redirect(from, from);
             answered = true;
         }
         var offsetUs = frame.number("core") + (nowUs - confirmedUs) / 2 - nowUs;
         coreOffsetUs = offsetUs;
         coreKnown = true;
-        addPilots(frame.texts("voters"));
+        addControlNodes(frame.texts("voters"));
     }
 
-    public void addPilots(List<String> ips) {
-        ips.forEach(this::addPilot);
+    public void addControlNodes(List<String> ips) {
+        ips.forEach(this::addControl);
     }
 
-    private void addPilot(String ip) {
-        if (!pilots.contains(ip) && pilots.size() < 16) {
-            pilots.add(ip);
+    private void addControl(String ip) {
+        if (!controlNodes.contains(ip) && controlNodes.size() < 16) {
+            controlNodes.add(ip);
         }
     }
 
     private void redirect(String from, String leader) {
-        if (!from.equals(pilot()) && !leader.equals(from)) {
+        if (!from.equals(control()) && !leader.equals(from)) {
             return;
         }
         if (leader.isEmpty()) {
             return;
         }
-        addPilot(leader);
-        var index = pilots.indexOf(leader);
+        addControl(leader);
+        var index = controlNodes.indexOf(leader);
         if (index >= 0 && index != guess) {
             guess = index;
             if (!leader.equals(from)) {
@@ -154,25 +158,25 @@
     }
 
     private void takeNews(Frame frame) {
-        var changed = takeCharter(frame);
-        var lines = frame.frames("lines");
-        var missed = frame.number("since") > layout.version();
-        if (!lines.isEmpty() && !missed) {
-            layout = layout.withLines(lines.stream().map(Layout.Line::read).toList());
+        var changed = takeConfiguration(frame);
+        var partitions = frame.frames("lines");
+        var missed = frame.number("since") > view.version();
+        if (!partitions.isEmpty() && !missed) {
+            view = view.withPartitions(partitions.stream().map(ClusterView.Partition::read).toList());
             changed = true;
         }
-        if (frame.has("members") && frame.number("mem") > layout.memberVersion()) {
-            layout = layout.withMembers(frame.number("mem"), frame.frames("members").stream().map(Layout.Member::read).toList());
+        if (frame.has("members") && frame.number("mem") > view.memberVersion()) {
+            view = view.withMembers(frame.number("mem"), frame.frames("members").stream().map(ClusterView.Member::read).toList());
             changed = true;
         }
         if (frame.has("roster") && frame.number("ros") > rosterVersion) {
             rosterVersion = frame.number("ros");
-            roster = frame.frames("roster").stream().map(Layout.Processor::read).toList();
+            roster = frame.frames("roster").stream().map(ClusterView.Processor::read).toList();
             changed = true;
         }
         if (frame.has("shifts") && frame.number("shi") > shiftsVersion) {
             shiftsVersion = frame.number("shi");
-            shifts = frame.frames("shifts").stream().map(Shift::read).toList();
+            rollouts = frame.frames("shifts").stream().map(Rollout::read).toList();
             changed = true;
         }
         if (changed) {
@@ -183,20 +187,20 @@
         }
     }
 
-    private boolean takeCharter(Frame frame) {
-        if (!frame.has("config") || frame.number("rev") <= charter.revision()) {
+    private boolean takeConfiguration(Frame frame) {
+        if (!frame.has("config") || frame.number("rev") <= configuration.revision()) {
             return false;
         }
         try {
-            charter = Charter.read(frame.bytes("config"));
+            configuration = Configuration.read(frame.bytes("config"));
             return true;
-        } catch (Charter.Invalid e) {
+        } catch (Configuration.Invalid e) {
             LOG.log(System.Logger.Level.ERROR, "a committed configuration cannot be read: " + e.getMessage());
             return false;
         }
     }
 
-    public Optional<Layout.Line> line(int number) {
-        return layout.line(number);
+    public Optional<ClusterView.Partition> partition(int number) {
+        return view.partition(number);
     }
 }
--- a/src/main/java/wellwheel/lantern/Layout.java
+++ b/src/main/java/wellwheel/cluster/ClusterView.java
@@ -1,5 +1,6 @@
-package wellwheel.lantern;
+package wellwheel.cluster;
 
+import wellwheel.transport.Frame;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -7,13 +8,13 @@
 import java.util.Map;
 import java.util.Optional;
 
-public final class Layout {
-    public static final int LINES = 48;
-    public static final Layout NONE = new Layout(0, List.of(), 0, Map.of());
+public final class ClusterView {
+    public static final int PARTITIONS = 48;
+    public static final ClusterView NONE = new ClusterView(0, List.of(), 0, Map.of());
 
-    public record Line(int number, long epoch, List<String> copies, String joining, int need, long version) {
-        public static Line unknown(int number) {
-            return new Line(number, 0, List.of(), "", 1, 0);
+    public record Partition(int number, long epoch, List<String> copies, String joining, int need, long version) {
+        public static Partition unknown(int number) {
+            return new Partition(number, 0, List.of(), "", 1, 0);
         }
 
         public String primary() {
@@ -32,24 +33,24 @@
             return copies.contains(id) || id.equals(joining);
         }
 
-        public Line with(List<String> newCopies, String newJoining, int newNeed) {
-            return new Line(number, epoch + 1, List.copyOf(newCopies), newJoining, newNeed, version);
+        public Partition with(List<String> newCopies, String newJoining, int newNeed) {
+            return new Partition(number, epoch + 1, List.copyOf(newCopies), newJoining, newNeed, version);
         }
 
-        public Line at(long newVersion) {
-            return new Line(number, epoch, copies, joining, need, newVersion);
+        public Partition at(long newVersion) {
+            return new Partition(number, epoch, copies, joining, need, newVersion);
         }
 
         public Frame frame() {
             return new Frame().with("n", number).with("e", epoch).with("c", List.<Object>copyOf(copies)).with("j", joining).with("q", need).with("v", version);
         }
 
-        public static Line read(Frame frame) {
-            var line = new Line(frame.small("n"), frame.number("e"), List.copyOf(frame.texts("c")), frame.text("j"), frame.small("q"), frame.number("v"));
-            if (line.number < 0 || line.number >= LINES || line.epoch < 1 || line.need < 1 || line.copies.isEmpty() || line.copies.contains("")) {
-                throw new IllegalArgumentException("a line that cannot be read whole: " + line);
+        public static Partition read(Frame frame) {
+            var partition = new Partition(frame.small("n"), frame.number("e"), List.copyOf(frame.texts("c")), frame.text("j"), frame.small("q"), frame.number("v"));
+            if (partition.number < 0 || partition.number >= PARTITIONS || partition.epoch < 1 || partition.need < 1 || partition.copies.isEmpty() || partition.copies.contains("")) {
+                throw new IllegalArgumentException("a partition that cannot be read whole: " + partition);
             }
-            return line;
+            return partition;
         }
     }
 
@@ -74,37 +75,37 @@
     }
 
     private final long version;
-    private final Map<Integer, Line> lines = new HashMap<>();
+    private final Map<Integer, Partition> partitions = new HashMap<>();
     private final long memberVersion;
     private final Map<String, Member> members;
     private final Map<String, List<Member>> byRole = new HashMap<>();
 
-    public Layout(long version, Collection<Line> lines, long memberVersion, Map<String, Member> members) {
+    public ClusterView(long version, Collection<Partition> partitions, long memberVersion, Map<String, Member> members) {
         this.version = version;
         this.memberVersion = memberVersion;
         this.members = members;
         members.values().forEach(member -> byRole.computeIfAbsent(member.role(), role -> new ArrayList<>()).add(member));
         byRole.replaceAll((role, list) -> list.stream().sorted((a, b) -> a.id().compareTo(b.id())).toList());
-        lines.forEach(line -> this.lines.put(line.number(), line));
+        partitions.forEach(partition -> this.partitions.put(partition.number(), partition));
     }
 
-    public Layout withLines(Collection<Line> changed) {
-        var merged = new HashMap<>(lines);
+    public ClusterView withPartitions(Collection<Partition> changed) {
+        var merged = new HashMap<>(partitions);
         var newest = version;
-        for (var line : changed) {
-            var old = merged.get(line.number());
-            if (old == null || old.version() < line.version()) {
-                merged.put(line.number(), line);
-                newest = Math.max(newest, line.version());
+        for (var partition : changed) {
+            var old = merged.get(partition.number());
+            if (old == null || old.version() < partition.version()) {
+                merged.put(partition.number(), partition);
+                newest = Math.max(newest, partition.version());
             }
         }
-        return new Layout(newest, merged.values(), memberVersion, members);
+        return new ClusterView(newest, merged.values(), memberVersion, members);
     }
 
-    public Layout withMembers(long newVersion, List<Member> newMembers) {
+    public ClusterView withMembers(long newVersion, List<Member> newMembers) {
         var byId = new HashMap<String, Member>();
         newMembers.forEach(member -> byId.put(member.id(), member));
-        return new Layout(version, lines.values(), newVersion, Map.copyOf(byId));
+        return new ClusterView(version, partitions.values(), newVersion, Map.copyOf(byId));
     }
 
     public long version() {
@@ -115,12 +116,12 @@
         return memberVersion;
     }
 
-    public Collection<Line> lines() {
-        return lines.values();
+    public Collection<Partition> partitions() {
+        return partitions.values();
     }
 
-    public Optional<Line> line(int number) {
-        return Optional.ofNullable(lines.get(number));
+    public Optional<Partition> partition(int number) {
+        return Optional.ofNullable(partitions.get(number));
     }
 
     public Optional<Member> member(String id) {
--- a/src/main/java/wellwheel/lantern/Shift.java
+++ b/src/main/java/wellwheel/cluster/Rollout.java
@@ -1,5 +1,6 @@
-package wellwheel.lantern;
+package wellwheel.cluster;
 
+import wellwheel.transport.Frame;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
@@ -7,7 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-public record Shift(String service, List<Integer> steps, int legsPerStep, long stepUs, double tolerance, int leastErrors, Phase phase, List<String> trusted, String next, int step,
+public record Rollout(String service, List<Integer> steps, int legsPerStep, long stepUs, double tolerance, int leastErrors, Phase phase, List<String> trusted, String next, int step,
                     long run, long epoch, List<String> reverted) {
     private static final int STEPS_MOST = 20;
     private static final int VERSIONS_MOST = 16;
@@ -40,16 +41,16 @@
         }
     }
 
-    public static Shift policy(String service, byte[] body, List<String> versions) throws Invalid {
+    public static Rollout policy(String service, byte[] body, List<String> versions) throws Invalid {
         try {
             var root = JsonParser.parseString(new String(body, StandardCharsets.UTF_8)).getAsJsonObject();
             var steps = new ArrayList<Integer>();
             root.getAsJsonArray("Steps").forEach(item -> steps.add(whole(item.getAsBigDecimal().doubleValue(), "Steps")));
             var current = root.has("Current") ? List.of(root.get("Current").getAsString()) : versions;
-            var shift = new Shift(service, List.copyOf(steps), whole(amount(root, "LegsPerStep", 20), "LegsPerStep"), Math.round(amount(root, "SecondsPerStep", 5) * 1e6), amount(root, "Tolerance", 0.05),
+            var rollout = new Rollout(service, List.copyOf(steps), whole(amount(root, "LegsPerStep", 20), "LegsPerStep"), Math.round(amount(root, "SecondsPerStep", 5) * 1e6), amount(root, "Tolerance", 0.05),
                 whole(amount(root, "LeastErrors", 3), "LeastErrors"), Phase.IDLE, current, "", 0, 0, 0, List.of());
-            shift.check();
-            return shift;
+            rollout.check();
+            return rollout;
         } catch (RuntimeException e) {
             throw new Invalid("the policy cannot be read: " + e.getMessage());
         }
@@ -94,8 +95,8 @@
         return tally.newBad() >= leastErrors && (double) tally.newBad() / tally.newLegs() - old > tolerance;
     }
 
-    private Shift at(Phase newPhase, List<String> newTrusted, String newNext, int newStep, long newRun, List<String> newReverted) {
-        return new Shift(service, steps, legsPerStep, stepUs, tolerance, leastErrors, newPhase, last(newTrusted), newNext, newStep, newRun, epoch + 1, last(newReverted));
+    private Rollout at(Phase newPhase, List<String> newTrusted, String newNext, int newStep, long newRun, List<String> newReverted) {
+        return new Rollout(service, steps, legsPerStep, stepUs, tolerance, leastErrors, newPhase, last(newTrusted), newNext, newStep, newRun, epoch + 1, last(newReverted));
     }
 
     private static List<String> last(List<String> versions) {
@@ -109,24 +110,24 @@
         return all;
     }
 
-    public Shift started(String version) {
+    public Rollout started(String version) {
         return at(Phase.SHIFTING, trusted, version, 0, epoch + 1, reverted.stream().filter(each -> !each.equals(version)).toList());
     }
 
-    public Shift onward() {
+    public Rollout onward() {
         return step + 1 < steps.size() ? at(Phase.SHIFTING, trusted, next, step + 1, run, reverted) : at(Phase.IDLE, and(trusted, next), "", 0, run, reverted);
     }
 
-    public Shift held(boolean hold) {
+    public Rollout held(boolean hold) {
         return at(hold ? Phase.HELD : Phase.SHIFTING, trusted, next, step, run, reverted);
     }
 
-    public Shift takenBack() {
+    public Rollout takenBack() {
         return at(Phase.IDLE, trusted, "", 0, run, and(reverted, next));
     }
 
-    public Shift after(Shift old) {
-        return new Shift(service, steps, legsPerStep, stepUs, tolerance, leastErrors, Phase.IDLE, trusted.isEmpty() ? old.trusted : trusted, "", 0, old.run, old.epoch + 1, old.reverted);
+    public Rollout after(Rollout old) {
+        return new Rollout(service, steps, legsPerStep, stepUs, tolerance, leastErrors, Phase.IDLE, trusted.isEmpty() ? old.trusted : trusted, "", 0, old.run, old.epoch + 1, old.reverted);
     }
 
     public String current() {
@@ -139,8 +140,8 @@
             .with("reverted", List.<Object>copyOf(reverted));
     }
 
-    public static Shift read(Frame frame) {
-        return new Shift(frame.text("service"), frame.numbers("steps").stream().map(Long::intValue).toList(), frame.small("legs"), frame.number("stepUs"), frame.part("tolerance"), frame.small("errors"),
+    public static Rollout read(Frame frame) {
+        return new Rollout(frame.text("service"), frame.numbers("steps").stream().map(Long::intValue).toList(), frame.small("legs"), frame.number("stepUs"), frame.part("tolerance"), frame.small("errors"),
             Phase.values()[frame.small("phase")], List.copyOf(frame.texts("trusted")), frame.text("next"), frame.small("step"), frame.number("run"), frame.number("epoch"), List.copyOf(frame.texts("reverted")));
     }
 
--- a/src/main/java/wellwheel/lantern/Charter.java
+++ b/src/main/java/wellwheel/config/Configuration.java
@@ -1,4 +1,4 @@
-package wellwheel.lantern;
+package wellwheel.config;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
@@ -24,8 +24,8 @@
 import java.util.Optional;
 import java.util.Set;
 
-public final class Charter {
-    public static final Charter NONE = new Charter(0, List.of(), Map.of(), List.of(), new Caps(16384, 262144, 3_000_000, 15_000_000));
+public final class Configuration {
+    public static final Configuration NONE = new Configuration(0, List.of(), Map.of(), List.of(), new Caps(16384, 262144, 3_000_000, 15_000_000));
 
     public record Path(String name, String host, String prefix, String service, int rank, long startAimUs, long aimUs, long giveUpUs, int tries, long keepUs, boolean inOrder, boolean open) { }
 
@@ -51,7 +51,7 @@
     private final Map<String, Tenant> tenantsByKey = new HashMap<>();
     private final Caps caps;
 
-    private Charter(long revision, List<Path> paths, Map<String, Service> services, List<Map.Entry<String, Tenant>> keys, Caps caps) {
+    private Configuration(long revision, List<Path> paths, Map<String, Service> services, List<Map.Entry<String, Tenant>> keys, Caps caps) {
         this.revision = revision;
         this.services = services;
         this.caps = caps;
@@ -97,7 +97,7 @@
         return colon > 0 ? lower.substring(0, colon) : lower;
     }
 
-    public static Charter read(byte[] bytes) throws Invalid {
+    public static Configuration read(byte[] bytes) throws Invalid {
         return new Builder(parse(bytes)).build();
     }
 
@@ -147,12 +147,12 @@
             this.root = root;
         }
 
-        Charter build() throws Invalid {
+        Configuration build() throws Invalid {
             gather();
             if (!faults.isEmpty()) {
                 throw faults.get(0);
             }
-            return new Charter(revision, paths, services, List.copyOf(keys.entrySet()), caps);
+            return new Configuration(revision, paths, services, List.copyOf(keys.entrySet()), caps);
         }
 
         private void gather() {
--- a/src/main/java/wellwheel/lantern/Options.java
+++ b/src/main/java/wellwheel/config/NodeOptions.java
@@ -1,4 +1,4 @@
-package wellwheel.lantern;
+package wellwheel.config;
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
@@ -10,7 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 
-public record Options(String node, String ip, String zone, String front, String ready, String control, int innerPort, List<String> seeds,
+public record NodeOptions(String node, String ip, String zone, String front, String ready, String control, int innerPort, List<String> seeds,
                       boolean firstBoot, String dataDir, int survive, long revokeUs, long applyUs, long windowUs, long visibleUs, long statusUs,
                       long graceUs, String platform, double platformPerS, int maxFiles, double channelPerS, long syncUs, boolean watch, int surviveZones, History history) {
 
@@ -22,7 +22,7 @@
         }
     }
 
-    public static Options load() throws Unusable {
+    public static NodeOptions load() throws Unusable {
         var path = Optional.ofNullable(System.getenv("WELLWHEEL_CONFIG")).orElse("/etc/wellwheel/local.json");
         try {
             return read(Files.readString(Path.of(path)));
@@ -31,7 +31,7 @@
         }
     }
 
-    public static Options read(String text) throws Unusable {
+    public static NodeOptions read(String text) throws Unusable {
         try {
             var root = JsonParser.parseString(text).getAsJsonObject();
             var listen = part(root, "ListenOn");
@@ -41,7 +41,7 @@
             var control = word(listen, "Control", "");
             var seeds = new ArrayList<String>();
             need(root, "SeedNodes").getAsJsonArray().forEach(item -> seeds.add(item.getAsString()));
-            return new Options(need(root, "NodeName").getAsString(), ip, need(root, "Zone").getAsString(), word(listen, "FrontHttp", ""), word(listen, "Readiness", ""),
+            return new NodeOptions(need(root, "NodeName").getAsString(), ip, need(root, "Zone").getAsString(), word(listen, "FrontHttp", ""), word(listen, "Readiness", ""),
                 control, need(root, "InternalPorts").getAsJsonArray().get(0).getAsInt(), List.copyOf(seeds), root.has("FirstBoot") && root.get("FirstBoot").getAsBoolean(),
                 word(root, "DataDir", ""), (int) amount(part(root, "Survive"), "Machines", 1), us(timing, "RevokeWithinMs", 5000), us(timing, "ApplyWithinMs", 3000),
                 (long) (amount(timing, "QuotaWindowS", 5) * 1e6), us(timing, "VisibleAfterMs", 3000), (long) (amount(timing, "StatusForS", 120) * 1e6),
--- a/src/main/java/wellwheel/pilot/ChunkReceiver.java
+++ b/src/main/java/wellwheel/consensus/ChunkReceiver.java
@@ -1,9 +1,9 @@
-package wellwheel.pilot;
+package wellwheel.consensus;
 
+import wellwheel.transport.Frame;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import java.util.zip.CRC32;
-import wellwheel.lantern.Frame;
 
 final class ChunkReceiver {
     static final int WHOLE_MOST = 64 << 20;
--- a/src/main/java/wellwheel/pilot/ChunkSender.java
+++ b/src/main/java/wellwheel/consensus/ChunkSender.java
@@ -1,8 +1,8 @@
-package wellwheel.pilot;
+package wellwheel.consensus;
 
+import wellwheel.transport.Frame;
 import java.util.Arrays;
 import java.util.function.Consumer;
-import wellwheel.lantern.Frame;
 
 final class ChunkSender {
     static final int CHUNK = 64 << 10;
--- a/src/main/java/wellwheel/pilot/Follower.java
+++ b/src/main/java/wellwheel/consensus/Follower.java
@@ -1,7 +1,7 @@
-package wellwheel.pilot;
+package wellwheel.consensus;
 
+import wellwheel.transport.Frame;
 import java.util.Optional;
-import wellwheel.lantern.Frame;
 
 final class Follower {
     static final long FIRST_WAIT_US = 1_000_000;
--- a/src/main/java/wellwheel/pilot/Raft.java
+++ b/src/main/java/wellwheel/consensus/Raft.java
@@ -1,5 +1,10 @@
-package wellwheel.pilot;
+package wellwheel.consensus;
 
+import wellwheel.runtime.Clock;
+import wellwheel.storage.Disk;
+import wellwheel.storage.Journal;
+import wellwheel.transport.Frame;
+import wellwheel.transport.Network;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,11 +17,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import wellwheel.lantern.Clock;
-import wellwheel.lantern.Disk;
-import wellwheel.lantern.Frame;
-import wellwheel.lantern.Journal;
-import wellwheel.lantern.Wire;
 
 public final class Raft {
     private static final System.Logger LOG = System.getLogger("raft");
@@ -71,10 +71,10 @@
 
     private final String self;
     private final Clock clock;
-    private final Wire wire;
+    private final Network wire;
     private final Journal journal;
     private final Host host;
-    private final Random luck;
+    private final Random random;
     private final int target;
     private final List<String> seeds;
     private List<String> firstVoters = List.of();
@@ -116,12 +116,12 @@
 
     private record Pending(long term, Consumer<Boolean> done) { }
 
-    public Raft(String self, List<String> seeds, int target, boolean firstBoot, Clock clock, Wire wire, Disk disk, Host host, long seed) {
+    public Raft(String self, List<String> seeds, int target, boolean firstBoot, Clock clock, Network wire, Disk disk, Host host, long seed) {
         this.self = self;
         this.clock = clock;
         this.wire = wire;
         this.host = host;
-        this.luck = new Random(seed);
+        this.random = new Random(seed);
         this.journal = new Journal(disk, "pilot.journal", self);
         this.target = target;
         this.seeds = List.copyOf(seeds);
@@ -131,7 +131,7 @@
             amnesiac = !firstBoot || found.syncedDamaged();
         }
         if (diskId == 0) {
-            diskId = luck.nextLong() | 1;
+            diskId = random.nextLong() | 1;
             journal.append(votersRecord(), () -> { });
         }
         findVoters();
@@ -475,11 +475,11 @@
     }
 
     private void resetElection() {
-        electionAtUs = clock.steadyUs() + ELECTION_US + (long) (luck.nextDouble() * ELECTION_US * 0.7);
+        electionAtUs = clock.steadyUs() + ELECTION_US + (long) (random.nextDouble() * ELECTION_US * 0.7);
     }
 
     private void soonAgain() {
-        electionAtUs = clock.steadyUs() + FIRST_ELECTION_US + (long) (luck.nextDouble() * FIRST_ELECTION_US);
+        electionAtUs = clock.steadyUs() + FIRST_ELECTION_US + (long) (random.nextDouble() * FIRST_ELECTION_US);
     }
 
     private void startPreVote() {
@@ -975,17 +975,17 @@
         });
     }
 
-    record View(long term, boolean leads, boolean mayVote, long snapIndex, long snapTerm, long last, long lastTerm, long commit, long applied, List<List<String>> quorums) { }
+    public record View(long term, boolean leads, boolean mayVote, long snapIndex, long snapTerm, long last, long lastTerm, long commit, long applied, List<List<String>> quorums) { }
 
-    synchronized View view() {
+    public synchronized View view() {
         return new View(term, role == Role.LEADER, !amnesiac, snapIndex, snapTerm, lastIndex(), termAt(lastIndex()), commit, applied, List.of(voters));
     }
 
-    synchronized byte[] entryAt(long index) {
+    public synchronized byte[] entryAt(long index) {
         return entries.get((int) (index - snapIndex - 1)).frame().pack();
     }
 
-    synchronized byte[] snapshotNow() {
+    public synchronized byte[] snapshotNow() {
         return snapState;
     }
 }
--- a/src/main/java/wellwheel/pilot/Pilot.java
+++ b/src/main/java/wellwheel/control/ControlDaemon.java
@@ -1,5 +1,15 @@
-package wellwheel.pilot;
+package wellwheel.control;
 
+import wellwheel.cluster.ClusterView;
+import wellwheel.config.Configuration;
+import wellwheel.runtime.NodeRuntime;
+import wellwheel.runtime.ResultCode;
+import wellwheel.storage.FileDisk;
+import wellwheel.storage.Journal;
+import wellwheel.transport.Exchange;
+import wellwheel.transport.HttpServer;
+import wellwheel.transport.Links;
+import wellwheel.transport.PooledHttpClient;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import java.net.URLEncoder;
@@ -9,57 +19,47 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import wellwheel.lantern.Caller;
-import wellwheel.lantern.Charter;
-import wellwheel.lantern.Codes;
-import wellwheel.lantern.Door;
-import wellwheel.lantern.Exchange;
-import wellwheel.lantern.FileDisk;
-import wellwheel.lantern.Journal;
-import wellwheel.lantern.Layout;
-import wellwheel.lantern.Links;
-import wellwheel.lantern.Station;
 
-public final class Pilot {
-    private static final System.Logger LOG = System.getLogger("pilot");
+public final class ControlDaemon {
+    private static final System.Logger LOG = System.getLogger("control");
     private static final long TICK_US = 50_000;
     private static final long POLL_US = 900_000;
     private static final long LEAVE_MOST_US = 4_000_000;
     private static final long END_MARGIN_US = 1_500_000;
     private static final int BAD_STATE_STATUS = 79;
     private static final int PAGES_MOST = 200;
-    private static final Charter.Caps CAPS = new Charter.Caps(16384, 8 << 20, 5_000_000, 30_000_000);
-    private final Station station;
-    private final PilotNode node;
-    private final Caller caller;
+    private static final Configuration.Caps CAPS = new Configuration.Caps(16384, 8 << 20, 5_000_000, 30_000_000);
+    private final NodeRuntime nodeRuntime;
+    private final ControlNode node;
+    private final PooledHttpClient caller;
     private boolean polling;
     private boolean leaving;
     private long lastPollUs;
     private long leftUs;
 
-    public Pilot(Station station) throws InterruptedException {
-        this.station = station;
-        var options = station.options();
-        var links = new Links(options.ip(), options.innerPort(), station.loop(), station.clock());
-        var disk = new FileDisk(Path.of(station.dataDir().orElse("/tmp/wellwheel")), station.loop());
-        caller = new Caller(station.loop(), station.clock());
-        node = new PilotNode(options, station.clock(), links, disk, new SecureRandom().nextLong());
-        node.onBroken(Pilot::stop);
+    public ControlDaemon(NodeRuntime nodeRuntime) throws InterruptedException {
+        this.nodeRuntime = nodeRuntime;
+        var options = nodeRuntime.options();
+        var links = new Links(options.ip(), options.innerPort(), nodeRuntime.loop(), nodeRuntime.clock());
+        var disk = new FileDisk(Path.of(nodeRuntime.dataDir().orElse("/tmp/wellwheel")), nodeRuntime.loop());
+        caller = new PooledHttpClient(nodeRuntime.loop(), nodeRuntime.clock());
+        node = new ControlNode(options, nodeRuntime.clock(), links, disk, new SecureRandom().nextLong());
+        node.onBroken(ControlDaemon::stop);
         links.open(node);
-        var control = new Door(station.loop(), station.clock(), () -> CAPS, 512, this::serve);
+        var control = new HttpServer(nodeRuntime.loop(), nodeRuntime.clock(), () -> CAPS, 512, this::serve);
         control.open(options.control());
         control.watch();
-        station.clock().every(TICK_US, node::tick);
-        station.clock().every(1_000_000, node::learn);
-        station.clock().every(100_000, this::poll);
-        station.onTerm(this::leave);
-        LOG.log(System.Logger.Level.INFO, "pilot " + options.node() + " is up");
+        nodeRuntime.clock().every(TICK_US, node::tick);
+        nodeRuntime.clock().every(1_000_000, node::learn);
+        nodeRuntime.clock().every(100_000, this::poll);
+        nodeRuntime.onTerm(this::leave);
+        LOG.log(System.Logger.Level.INFO, "control node " + options.node() + " is up");
     }
 
     public static void main(String[] arguments) throws InterruptedException {
-        var station = Station.start();
+        var nodeRuntime = NodeRuntime.start();
         try {
-            new Pilot(station);
+            new ControlDaemon(nodeRuntime);
         } catch (Journal.Unreadable e) {
             stop(e.code(), e.getMessage());
         } catch (IllegalArgumentException | IllegalStateException e) {
@@ -68,10 +68,10 @@
     }
 
     private static void stop(String why) {
-        stop(Codes.BAD_STATE, why);
+        stop(ResultCode.BAD_STATE, why);
     }
 
-    private static void stop(Codes code, String why) {
+    private static void stop(ResultCode code, String why) {
         LOG.log(System.Logger.Level.ERROR, "code=" + code.number() + " " + why);
         System.out.flush();
         Runtime.getRuntime().halt(BAD_STATE_STATUS);
@@ -82,11 +82,11 @@
             return;
         }
         leaving = true;
-        leftUs = station.clock().steadyUs();
-        var mostUs = Math.min(LEAVE_MOST_US, station.options().graceUs() - END_MARGIN_US);
-        station.clock().every(20_000, () -> {
-            if (node.raft().leave() || station.clock().steadyUs() - leftUs > mostUs) {
-                station.clock().after(150_000, station::end);
+        leftUs = nodeRuntime.clock().steadyUs();
+        var mostUs = Math.min(LEAVE_MOST_US, nodeRuntime.options().graceUs() - END_MARGIN_US);
+        nodeRuntime.clock().every(20_000, () -> {
+            if (node.raft().leave() || nodeRuntime.clock().steadyUs() - leftUs > mostUs) {
+                nodeRuntime.clock().after(150_000, nodeRuntime::end);
             }
         });
     }
@@ -102,12 +102,12 @@
                 if (soundOrder(exchange)) {
                     this.node.retire(node, reply -> answer(exchange, reply));
                 } else {
-                    exchange.answer(Exchange.Answer.of(Codes.BAD_REQUEST));
+                    exchange.answer(Exchange.Answer.of(ResultCode.BAD_REQUEST));
                 }
             }
             case "GET Retire.Read" -> this.node.retireState(node, reply -> answer(exchange, reply));
             case "GET Nodes.Read" -> answer(exchange, this.node.nodes());
-            case "GET Lines.Read" -> answer(exchange, this.node.linesNow());
+            case "GET Lines.Read" -> answer(exchange, this.node.partitionsNow());
             case "GET History.Read" -> history(exchange);
             case "GET Warnings.Read" -> this.node.warnings(false, reply -> answer(exchange, reply));
             case "GET Steps.Failed" -> this.node.warnings(true, reply -> answer(exchange, reply));
@@ -115,16 +115,16 @@
             case "POST Steps.Release", "POST Steps.Drop" -> this.node.decideStep(node, segments[1].equals("Steps.Drop"), reply -> answer(exchange, reply));
             case "GET Shift.Read" -> answer(exchange, this.node.shiftState(node));
             case "POST Shift.Set", "POST Shift.Start", "POST Shift.Hold", "POST Shift.Resume", "POST Shift.Revert" ->
-                this.node.shift(segments[1].substring("Shift.".length()), node, base(exchange), exchange.body(), reply -> answer(exchange, reply));
-            case "GET ready" -> exchange.answer(Exchange.Answer.of(Codes.FINE));
-            default -> exchange.answer(Exchange.Answer.of(Codes.NO_PATH));
+                this.node.rollout(segments[1].substring("Shift.".length()), node, base(exchange), exchange.body(), reply -> answer(exchange, reply));
+            case "GET ready" -> exchange.answer(Exchange.Answer.of(ResultCode.FINE));
+            default -> exchange.answer(Exchange.Answer.of(ResultCode.NO_PATH));
         }
     }
 
     private void history(Exchange exchange) {
         var range = exchange.target().replaceFirst("^[^?]*\\??", "");
         if (!range.matches("from=[0-9]{1,18}&to=[0-9]{1,18}")) {
-            answer(exchange, PilotNode.Reply.of(Codes.BAD_RANGE, "from and to are whole microseconds"));
+            answer(exchange, ControlNode.Reply.of(ResultCode.BAD_RANGE, "from and to are whole microseconds"));
             return;
         }
         var parts = range.split("[=&]");
@@ -145,8 +145,8 @@
         return exchange.header("Based-On-Version").map(String::trim).filter(text -> text.matches("[0-9]{1,18}")).map(Long::parseLong);
     }
 
-    private static void answer(Exchange exchange, PilotNode.Reply reply) {
-        var answer = reply.code() == Codes.NO_LEADER ? Exchange.Answer.later(reply.code(), 1) : Exchange.Answer.of(reply.code());
+    private static void answer(Exchange exchange, ControlNode.Reply reply) {
+        var answer = reply.code() == ResultCode.NO_LEADER ? Exchange.Answer.later(reply.code(), 1) : Exchange.Answer.of(reply.code());
         if (!reply.location().isEmpty()) {
             answer = Exchange.Answer.of(reply.code(), "Location", reply.location());
         }
@@ -154,8 +154,8 @@
     }
 
     private void poll() {
-        var nowUs = station.clock().steadyUs();
-        if (polling || station.options().platform().isEmpty() || nowUs - lastPollUs < POLL_US || !node.wantsRoster()) {
+        var nowUs = nodeRuntime.clock().steadyUs();
+        if (polling || nodeRuntime.options().platform().isEmpty() || nowUs - lastPollUs < POLL_US || !node.wantsRoster()) {
             return;
         }
         polling = true;
@@ -163,11 +163,11 @@
         page("", new ArrayList<>(), 0);
     }
 
-    private void page(String token, List<Layout.Processor> found, int pages) {
+    private void page(String token, List<ClusterView.Processor> found, int pages) {
         var target = "/servers" + (token.isEmpty() ? "" : "?PageToken=" + URLEncoder.encode(token, StandardCharsets.UTF_8));
-        caller.call(new Caller.Call(station.options().platform(), "GET", target, List.of("Accept", "application/json"), new byte[0], 1_500_000, 2, ""), answer -> {
+        caller.call(new PooledHttpClient.Call(nodeRuntime.options().platform(), "GET", target, List.of("Accept", "application/json"), new byte[0], 1_500_000, 2, ""), answer -> {
             polling = false;
-            if (answer.fate() != Caller.Fate.ANSWERED || answer.status() != 200) {
+            if (answer.fate() != PooledHttpClient.Fate.ANSWERED || answer.status() != 200) {
                 LOG.log(System.Logger.Level.WARNING, "the platform's list did not come: " + answer.fate() + " " + answer.status());
                 return;
             }
@@ -177,7 +177,7 @@
                 var next = root.has("NextToken") && !root.get("NextToken").isJsonNull() ? root.get("NextToken").getAsString() : "";
                 if (!next.isEmpty() && pages < PAGES_MOST) {
                     polling = true;
-                    station.clock().after((long) (1e6 / Math.max(1, station.options().platformPerS())), () -> page(next, found, pages + 1));
+                    nodeRuntime.clock().after((long) (1e6 / Math.max(1, nodeRuntime.options().platformPerS())), () -> page(next, found, pages + 1));
                 } else {
                     node.roster(found);
                 }
@@ -187,8 +187,8 @@
         });
     }
 
-    private static Layout.Processor processor(JsonObject item) {
-        return new Layout.Processor(item.get("Id").getAsString(), item.get("Backend").getAsString(), item.get("Address").getAsString(), item.get("Zone").getAsString(),
+    private static ClusterView.Processor processor(JsonObject item) {
+        return new ClusterView.Processor(item.get("Id").getAsString(), item.get("Backend").getAsString(), item.get("Address").getAsString(), item.get("Zone").getAsString(),
             item.get("Capacity").getAsInt(), !item.get("State").getAsString().equals("ready"), item.get("ColdLeftMs").getAsLong() * 1000,
             item.has("Revision") && !item.get("Revision").isJsonNull() ? item.get("Revision").getAsString() : "");
     }
--- a/src/main/java/wellwheel/pilot/PilotNode.java
+++ b/src/main/java/wellwheel/control/ControlNode.java
@@ -1,5 +1,15 @@
-package wellwheel.pilot;
-
+package wellwheel.control;
+
+import wellwheel.cluster.ClusterView;
+import wellwheel.cluster.Rollout;
+import wellwheel.config.Configuration;
+import wellwheel.config.NodeOptions;
+import wellwheel.consensus.Raft;
+import wellwheel.runtime.Clock;
+import wellwheel.runtime.ResultCode;
+import wellwheel.storage.Disk;
+import wellwheel.transport.Frame;
+import wellwheel.transport.Network;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.nio.charset.StandardCharsets;
@@ -14,19 +24,10 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import wellwheel.lantern.Charter;
-import wellwheel.lantern.Clock;
-import wellwheel.lantern.Codes;
-import wellwheel.lantern.Disk;
-import wellwheel.lantern.Frame;
-import wellwheel.lantern.Layout;
-import wellwheel.lantern.Options;
-import wellwheel.lantern.Shift;
-import wellwheel.lantern.Wire;
-
-public final class PilotNode implements Wire.Ear, Raft.Host {
-    private static final System.Logger LOG = System.getLogger("pilot");
-    private static final long KEEPER_CLAIM_US = 1_200_000;
+
+public final class ControlNode implements Network.MessageHandler, Raft.Host {
+    private static final System.Logger LOG = System.getLogger("control");
+    private static final long STORAGE_CLAIM_US = 1_200_000;
     private static final long DOWN_CLAIM_US = 500_000;
     private static final int HOLDERS_MOST = 4096;
     private static final int TERM_BITS = 24;
@@ -44,25 +45,25 @@
     private static final long WANTED_US = 2_000;
     private static final long GATHER_US = 5_000_000;
 
-    public record Reply(Codes code, String location, byte[] body) {
-        static Reply of(Codes code) {
+    public record Reply(ResultCode code, String location, byte[] body) {
+        static Reply of(ResultCode code) {
             return new Reply(code, "", new byte[0]);
         }
 
-        static Reply of(Codes code, String why) {
+        static Reply of(ResultCode code, String why) {
             return new Reply(code, "", Frames.json(code, why));
         }
     }
 
     private static final class Frames {
-        static byte[] json(Codes code, String why) {
+        static byte[] json(ResultCode code, String why) {
             var quoted = why.replace("\\", "\\\\").replace("\"", "\\\"").replaceAll("\\p{Cntrl}", " ");
             return ("{\"Code\":" + code.number() + ",\"Error\":\"" + quoted + "\"}").getBytes(StandardCharsets.UTF_8);
         }
     }
 
     private static final class Holder {
-        Layout.Member member;
+        ClusterView.Member member;
         long heardUs;
         long knows;
         boolean leaving;
@@ -70,31 +71,31 @@
         long downUs = Long.MAX_VALUE / 2;
     }
 
-    private final Options options;
+    private final NodeOptions options;
     private final Clock clock;
-    private final Wire wire;
+    private final Network wire;
     private final Raft raft;
     private long coreOffsetUs;
     private Consumer<String> broken = why -> {
         throw new IllegalStateException(why);
     };
-    private final Orders orders = new Orders();
-    private final TreeMap<Integer, Layout.Line> lines = new TreeMap<>();
-    private long linesVersion;
+    private final OperatorApi orders = new OperatorApi();
+    private final TreeMap<Integer, ClusterView.Partition> partitions = new TreeMap<>();
+    private long partitionsVersion;
     private final Set<String> retiring = new LinkedHashSet<>();
     private final Map<String, Holder> holders = new LinkedHashMap<>();
     private final Map<String, Long> joinReports = new HashMap<>();
     private final Set<String> restarted = new HashSet<>();
     private long memberVersion;
     private long rosterVersion;
-    private List<Layout.Processor> roster = List.of();
+    private List<ClusterView.Processor> roster = List.of();
     private long ledSinceUs = Long.MAX_VALUE / 2;
-    private long firstKeeperUs = Long.MAX_VALUE / 2;
-    private long newestKeeperUs;
+    private long firstStorageUs = Long.MAX_VALUE / 2;
+    private long newestStorageUs;
     private boolean planning;
-    private final TreeMap<Integer, Layout.Line> wanted = new TreeMap<>();
+    private final TreeMap<Integer, ClusterView.Partition> wanted = new TreeMap<>();
     private long lastBalanceUs;
-    private final Shifts shifts = new Shifts();
+    private final Rollouts rollouts = new Rollouts();
     private final Warnings warnings = new Warnings();
     private long shiftsVersion;
     private long askedWatchUs;
@@ -104,13 +105,13 @@
     private long lastGather;
     private final Set<String> shiftPending = new LinkedHashSet<>();
 
-    public PilotNode(Options options, Clock clock, Wire wire, Disk disk, long seed) {
+    public ControlNode(NodeOptions options, Clock clock, Network wire, Disk disk, long seed) {
         this.options = options;
         this.clock = clock;
         this.wire = wire;
         coreOffsetUs = clock.wallUs() - clock.steadyUs();
         lastGather = (seed & 0x7fffffffL) << 20;
-        var seeds = options.seeds().stream().map(Options::hostOf).toList();
+        var seeds = options.seeds().stream().map(NodeOptions::hostOf).toList();
         raft = new Raft(options.ip(), seeds, 2 * options.survive() + 1, options.firstBoot(), clock, wire, disk, this, seed);
     }
 
@@ -145,9 +146,9 @@
     private void apply(long index, Frame frame) {
         switch (frame.kind()) {
             case "config" -> applyConfig(frame);
-            case "lines" -> applyLines(index, frame);
+            case "lines" -> applyPartitions(index, frame);
             case "retire" -> retiring.add(frame.text("node"));
-            case "shift" -> applyShift(index, Shift.read(frame.inner("shift")));
+            case "shift" -> applyShift(index, Rollout.read(frame.inner("shift")));
             default -> { }
         }
     }
@@ -157,22 +158,22 @@
         pushNews();
     }
 
-    private void applyShift(long index, Shift shift) {
-        if (shifts.apply(shift)) {
+    private void applyShift(long index, Rollout rollout) {
+        if (rollouts.apply(rollout)) {
             shiftsVersion = index;
-            LOG.log(System.Logger.Level.INFO, "code=" + Codes.SHIFT_MOVES.number() + " " + shift.json(shifts.tally(shift.service())));
+            LOG.log(System.Logger.Level.INFO, "code=" + ResultCode.SHIFT_MOVES.number() + " " + rollout.json(rollouts.tally(rollout.service())));
             pushNews();
         }
     }
 
-    private void applyLines(long index, Frame frame) {
+    private void applyPartitions(long index, Frame frame) {
         for (var each : frame.frames("lines")) {
-            var line = Layout.Line.read(each);
-            var old = lines.get(line.number());
-            if (old == null ? line.epoch() == 1 : old.epoch() + 1 == line.epoch()) {
-                lines.put(line.number(), line.at(index));
-                linesVersion = index;
-                restarted.removeIf(key -> key.startsWith(line.number() + "/") && !line.copies().contains(key.substring(key.indexOf("/") + 1)));
+            var partition = ClusterView.Partition.read(each);
+            var old = partitions.get(partition.number());
+            if (old == null ? partition.epoch() == 1 : old.epoch() + 1 == partition.epoch()) {
+                partitions.put(partition.number(), partition.at(index));
+                partitionsVersion = index;
+                restarted.removeIf(key -> key.startsWith(partition.number() + "/") && !partition.copies().contains(key.substring(key.indexOf("/") + 1)));
             }
         }
         pushNews();
@@ -180,8 +181,8 @@
 
     @Override
     public synchronized byte[] snapshot() {
-        var state = Frame.of("state").with("version", linesVersion).with("retiring", new ArrayList<Object>(retiring)).with("lines", lines.values().stream().map(Layout.Line::frame).toList())
-            .with("shiftsVersion", shiftsVersion).with("shifts", shifts.all().stream().map(Shift::frame).toList());
+        var state = Frame.of("state").with("version", partitionsVersion).with("retiring", new ArrayList<Object>(retiring)).with("lines", partitions.values().stream().map(ClusterView.Partition::frame).toList())
+            .with("shiftsVersion", shiftsVersion).with("shifts", rollouts.all().stream().map(Rollout::frame).toList());
         orders.save(state);
         return state.pack();
     }
@@ -192,11 +193,11 @@
         orders.restore(frame);
         retiring.clear();
         retiring.addAll(frame.texts("retiring"));
-        linesVersion = frame.number("version");
+        partitionsVersion = frame.number("version");
         shiftsVersion = frame.number("shiftsVersion");
-        shifts.restore(frame.frames("shifts").stream().map(Shift::read).toList());
-        lines.clear();
-        frame.frames("lines").forEach(each -> lines.put(each.small("n"), Layout.Line.read(each)));
+        rollouts.restore(frame.frames("shifts").stream().map(Rollout::read).toList());
+        partitions.clear();
+        frame.frames("lines").forEach(each -> partitions.put(each.small("n"), ClusterView.Partition.read(each)));
     }
 
     @Override
@@ -207,12 +208,12 @@
         restarted.clear();
         wanted.clear();
         planning = false;
-        shifts.forgetMemory();
+        rollouts.forgetMemory();
         warnings.clear();
         shiftPending.clear();
         memberVersion = raft.term() << TERM_BITS;
         rosterVersion = raft.term() << TERM_BITS;
-        firstKeeperUs = Long.MAX_VALUE / 2;
+        firstStorageUs = Long.MAX_VALUE / 2;
     }
 
     @Override
@@ -228,7 +229,7 @@
             return;
         }
         switch (frame.kind()) {
-            case "claim" -> onClaim(from, frame);
+            case "claim" -> onHeartbeat(from, frame);
             case "line.level" -> onLevel(frame);
             case "line.lost" -> onLost(frame);
             case "line.reopen" -> onReopen(frame);
@@ -253,7 +254,7 @@
         }
     }
 
-    private void onClaim(String from, Frame frame) {
+    private void onHeartbeat(String from, Frame frame) {
         if (!raft.leadsFreshly()) {
             var leader = raft.leader();
             wire.send(from, Frame.of("claim.no").with("leader", leader.equals(options.ip()) ? "" : leader));
@@ -262,7 +263,7 @@
         var answer = Frame.of("claim.ok").with("sent", frame.number("sent")).with("core", coreUs()).with("voters", raft.voters());
         synchronized (this) {
             renew(from, frame);
-            shifts.hear(frame.text("id"), frame.frames("tally"));
+            rollouts.hear(frame.text("id"), frame.frames("tally"));
             fill(answer, frame.number("rev"), frame.number("lay"), tells(frame.number("mem")) ? frame.number("mem") : memberVersion, frame.number("ros"), frame.number("shi"));
         }
         wire.send(from, answer);
@@ -277,22 +278,22 @@
         var holder = holders.get(id);
         if (holder == null) {
             holder = new Holder();
-            holder.member = new Layout.Member(id, frame.text("role"), from, frame.text("zone"));
+            holder.member = new ClusterView.Member(id, frame.text("role"), from, frame.text("zone"));
             var node = nodeOf(id);
             holders.values().removeIf(old -> nodeOf(old.member.id()).equals(node));
             holders.put(id, holder);
-            if (frame.text("role").equals("keeper")) {
-                firstKeeperUs = Math.min(firstKeeperUs, nowUs);
-                newestKeeperUs = nowUs;
+            if (frame.text("role").equals("storage")) {
+                firstStorageUs = Math.min(firstStorageUs, nowUs);
+                newestStorageUs = nowUs;
             }
             holder.life = frame.text("life");
             memberVersion++;
         }
         if (!holder.life.equals(frame.text("life"))) {
             holder.life = frame.text("life");
-            lines.values().stream().filter(line -> line.backups().contains(id)).forEach(line -> {
-                restarted.add(line.number() + "/" + id);
-                want(without(line, id));
+            partitions.values().stream().filter(partition -> partition.backups().contains(id)).forEach(partition -> {
+                restarted.add(partition.number() + "/" + id);
+                want(without(partition, id));
             });
         }
         holder.heardUs = nowUs;
@@ -306,21 +307,21 @@
         return hash < 0 ? id : id.substring(0, hash);
     }
 
-    private void fill(Frame answer, long revision, long layout, long members, long rosterSeen, long shiftsSeen) {
-        if (charter().revision() > revision) {
-            answer.with("rev", charter().revision()).with("config", orders.config());
+    private void fill(Frame answer, long revision, long view, long members, long rosterSeen, long shiftsSeen) {
+        if (configuration().revision() > revision) {
+            answer.with("rev", configuration().revision()).with("config", orders.config());
         }
-        if (linesVersion > layout) {
-            answer.with("lines", lines.values().stream().filter(line -> line.version() > layout).map(Layout.Line::frame).toList());
+        if (partitionsVersion > view) {
+            answer.with("lines", partitions.values().stream().filter(partition -> partition.version() > view).map(ClusterView.Partition::frame).toList());
         }
         if (memberVersion > members) {
             answer.with("mem", memberVersion).with("members", holders.values().stream().map(holder -> holder.member.frame()).toList());
         }
         if (shiftsVersion > shiftsSeen) {
-            answer.with("shi", shiftsVersion).with("shifts", shifts.all().stream().map(Shift::frame).toList());
+            answer.with("shi", shiftsVersion).with("shifts", rollouts.all().stream().map(Rollout::frame).toList());
         }
         if (rosterVersion > rosterSeen && !roster.isEmpty()) {
-            answer.with("ros", rosterVersion).with("roster", roster.stream().map(Layout.Processor::frame).toList());
+            answer.with("ros", rosterVersion).with("roster", roster.stream().map(ClusterView.Processor::frame).toList());
         }
     }
 
@@ -331,23 +332,23 @@
     }
 
     private long pushedRevision;
-    private long pushedLines;
+    private long pushedPartitions;
     private long pushedMembers;
     private long pushedRoster;
     private long pushedShifts;
 
     private void pushNews() {
         if (!raft.leads()) {
-            pushedRevision = charter().revision();
-            pushedLines = linesVersion;
+            pushedRevision = configuration().revision();
+            pushedPartitions = partitionsVersion;
             pushedShifts = shiftsVersion;
             return;
         }
         var newsToAll = news(memberVersion);
         var newsWithMembers = news(pushedMembers);
         pushedShifts = shiftsVersion;
-        pushedRevision = charter().revision();
-        pushedLines = linesVersion;
+        pushedRevision = configuration().revision();
+        pushedPartitions = partitionsVersion;
         pushedMembers = memberVersion;
         pushedRoster = rosterVersion;
         var toAll = NEWS.stream().anyMatch(newsToAll::has);
@@ -355,8 +356,8 @@
     }
 
     private Frame news(long members) {
-        var news = Frame.of("news").with("since", pushedLines);
-        fill(news, pushedRevision, pushedLines, members, pushedRoster, pushedShifts);
+        var news = Frame.of("news").with("since", pushedPartitions);
+        fill(news, pushedRevision, pushedPartitions, members, pushedRoster, pushedShifts);
         return news;
     }
 
@@ -381,27 +382,27 @@
     }
 
     private void tendShifts() {
-        if (!shifts.all().isEmpty()) {
-            shifts.due(listedVersions(), clock.steadyUs()).forEach(shift -> propose(shift, reply -> { }));
+        if (!rollouts.all().isEmpty()) {
+            rollouts.due(listedVersions(), clock.steadyUs()).forEach(rollout -> propose(rollout, reply -> { }));
         }
     }
 
-    private void propose(Shift shift, Consumer<Reply> answer) {
-        if (!shiftPending.add(shift.service())) {
-            answer.accept(Reply.of(Codes.NO_LEADER, "a change of this shift is under way; send it again"));
+    private void propose(Rollout rollout, Consumer<Reply> answer) {
+        if (!shiftPending.add(rollout.service())) {
+            answer.accept(Reply.of(ResultCode.NO_LEADER, "a change of this rollout is under way; send it again"));
             return;
         }
-        raft.propose(Frame.of("shift").with("shift", shift.frame()).pack(), done -> {
+        raft.propose(Frame.of("shift").with("shift", rollout.frame()).pack(), done -> {
             synchronized (this) {
-                shiftPending.remove(shift.service());
-                var taken = done && shifts.of(shift.service()).map(now -> now.equals(shift)).orElse(false);
-                answer.accept(taken ? new Reply(Codes.FINE, "", json(shift)) : Reply.of(done ? Codes.OTHER_SHIFT : Codes.NO_LEADER, "not taken; read it and send it again"));
+                shiftPending.remove(rollout.service());
+                var taken = done && rollouts.of(rollout.service()).map(now -> now.equals(rollout)).orElse(false);
+                answer.accept(taken ? new Reply(ResultCode.FINE, "", json(rollout)) : Reply.of(done ? ResultCode.OTHER_SHIFT : ResultCode.NO_LEADER, "not taken; read it and send it again"));
             }
         });
     }
 
-    private byte[] json(Shift shift) {
-        return shift.json(shifts.tally(shift.service())).toString().getBytes(StandardCharsets.UTF_8);
+    private byte[] json(Rollout rollout) {
+        return rollout.json(rollouts.tally(rollout.service())).toString().getBytes(StandardCharsets.UTF_8);
     }
 
     private synchronized void onWatch(Frame frame) {
@@ -416,34 +417,34 @@
         if (!services.isEmpty() && nowUs - askedWatchUs > WATCH_ASK_US) {
             askedWatchUs = nowUs;
             var ask = Frame.of("watch.ask").with("services", List.<Object>copyOf(services));
-            holders.values().stream().filter(holder -> holder.member.role().equals("keeper")).forEach(holder -> wire.send(holder.member.ip(), ask));
+            holders.values().stream().filter(holder -> holder.member.role().equals("storage")).forEach(holder -> wire.send(holder.member.ip(), ask));
         }
         warnings.judge(nowUs);
     }
 
-    public void shift(String call, String service, Optional<Long> base, byte[] body, Consumer<Reply> answer) {
+    public void rollout(String call, String service, Optional<Long> base, byte[] body, Consumer<Reply> answer) {
         proven("/Shift." + call + "/" + service, answer, () -> shiftNow(call, service, base, body, answer));
     }
 
     private synchronized void shiftNow(String call, String service, Optional<Long> base, byte[] body, Consumer<Reply> answer) {
-        var now = shifts.of(service);
-        if (charter().service(service).isEmpty() || now.isEmpty() && !call.equals("Set")) {
-            answer.accept(Reply.of(Codes.NO_SERVICE, charter().service(service).isEmpty() ? "no service " + service : "no policy for " + service));
-        } else if (base.isPresent() && !base.get().equals(now.map(Shift::epoch).orElse(0L))) {
-            answer.accept(Reply.of(Codes.OTHER_BASE, "the shift is at epoch " + now.map(Shift::epoch).orElse(0L)));
+        var now = rollouts.of(service);
+        if (configuration().service(service).isEmpty() || now.isEmpty() && !call.equals("Set")) {
+            answer.accept(Reply.of(ResultCode.NO_SERVICE, configuration().service(service).isEmpty() ? "no service " + service : "no policy for " + service));
+        } else if (base.isPresent() && !base.get().equals(now.map(Rollout::epoch).orElse(0L))) {
+            answer.accept(Reply.of(ResultCode.OTHER_BASE, "the rollout is at epoch " + now.map(Rollout::epoch).orElse(0L)));
         } else {
             order(call, service, now, body, answer);
         }
     }
 
-    private void order(String call, String service, Optional<Shift> now, byte[] body, Consumer<Reply> answer) {
-        var running = now.map(shift -> !shift.next().isEmpty()).orElse(false);
+    private void order(String call, String service, Optional<Rollout> now, byte[] body, Consumer<Reply> answer) {
+        var running = now.map(rollout -> !rollout.next().isEmpty()).orElse(false);
         if (call.equals("Set")) {
             set(service, now, running, body, answer);
         } else if (call.equals("Start")) {
             start(now.get(), running, body, answer);
         } else if (!running) {
-            answer.accept(Reply.of(Codes.OTHER_SHIFT, "no shift is running"));
+            answer.accept(Reply.of(ResultCode.OTHER_SHIFT, "no rollout is running"));
         } else {
             propose(switch (call) {
                 case "Hold" -> now.get().held(true);
@@ -453,16 +454,16 @@
         }
     }
 
-    private void set(String service, Optional<Shift> now, boolean running, byte[] body, Consumer<Reply> answer) {
-        if (running || shifts.full() && now.isEmpty()) {
-            answer.accept(Reply.of(Codes.OTHER_SHIFT, running ? "a shift is running" : "too many policies"));
+    private void set(String service, Optional<Rollout> now, boolean running, byte[] body, Consumer<Reply> answer) {
+        if (running || rollouts.full() && now.isEmpty()) {
+            answer.accept(Reply.of(ResultCode.OTHER_SHIFT, running ? "a rollout is running" : "too many policies"));
             return;
         }
         try {
-            var policy = Shift.policy(service, body, mostListed(service));
+            var policy = Rollout.policy(service, body, mostListed(service));
             propose(policy.after(now.orElse(policy)), answer);
-        } catch (Shift.Invalid e) {
-            answer.accept(Reply.of(Codes.BAD_POLICY, e.getMessage()));
+        } catch (Rollout.Invalid e) {
+            answer.accept(Reply.of(ResultCode.BAD_POLICY, e.getMessage()));
         }
     }
 
@@ -472,12 +473,12 @@
         return counts.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey).stream().toList();
     }
 
-    private void start(Shift now, boolean running, byte[] body, Consumer<Reply> answer) {
+    private void start(Rollout now, boolean running, byte[] body, Consumer<Reply> answer) {
         var version = new String(body, StandardCharsets.UTF_8).trim();
         if (running) {
-            answer.accept(Reply.of(Codes.OTHER_SHIFT, "a shift to " + now.next() + " is running"));
+            answer.accept(Reply.of(ResultCode.OTHER_SHIFT, "a rollout to " + now.next() + " is running"));
         } else if (version.isEmpty() || version.length() > 64 || now.trusted().contains(version)) {
-            answer.accept(Reply.of(Codes.BAD_POLICY, "the body must name a version that is not in service yet"));
+            answer.accept(Reply.of(ResultCode.BAD_POLICY, "the body must name a version that is not in service yet"));
         } else {
             propose(now.started(version), answer);
         }
@@ -486,7 +487,7 @@
     public Reply shiftState(String service) {
         return elsewhere("/Shift.Read/" + service).orElseGet(() -> {
             synchronized (this) {
-                return shifts.of(service).map(shift -> new Reply(Codes.FINE, "", json(shift))).orElseGet(() -> Reply.of(Codes.NO_SERVICE, "no policy for " + service));
+                return rollouts.of(service).map(rollout -> new Reply(ResultCode.FINE, "", json(rollout))).orElseGet(() -> Reply.of(ResultCode.NO_SERVICE, "no policy for " + service));
             }
         });
     }
@@ -518,7 +519,7 @@
 
     private synchronized void gatherSteps(StepsGather gather, Consumer<Reply> answer) {
         if (stepGathers.size() >= GATHERS_MOST) {
-            answer.accept(Reply.of(Codes.NO_LEADER, "too many questions at once"));
+            answer.accept(Reply.of(ResultCode.NO_LEADER, "too many questions at once"));
             return;
         }
         nextRound(++lastGather, gather);
@@ -526,7 +527,7 @@
 
     private void nextRound(long rid, StepsGather gather) {
         var ips = new LinkedHashSet<String>();
-        holders.values().stream().filter(holder -> holder.member.role().equals("keeper")).forEach(holder -> ips.add(holder.member.ip()));
+        holders.values().stream().filter(holder -> holder.member.role().equals("storage")).forEach(holder -> ips.add(holder.member.ip()));
         stepGathers.put(rid, gather);
         var ask = gather.round(rid, ips);
         ips.forEach(ip -> wire.send(ip, ask));
@@ -565,10 +566,10 @@
             return;
         }
         synchronized (this) {
-            var line = step.matches("[0-9]{1,2}-.+") ? lines.get(Integer.parseInt(step.substring(0, step.indexOf('-')))) : null;
-            var ip = line == null ? "" : Optional.ofNullable(holders.get(line.primary())).map(holder -> holder.member.ip()).orElse("");
+            var partition = step.matches("[0-9]{1,2}-.+") ? partitions.get(Integer.parseInt(step.substring(0, step.indexOf('-')))) : null;
+            var ip = partition == null ? "" : Optional.ofNullable(holders.get(partition.primary())).map(holder -> holder.member.ip()).orElse("");
             if (ip.isEmpty()) {
-                answer.accept(line == null ? Reply.of(Codes.NO_MESSAGE, "no step " + step + "; give the Message-Name") : Reply.of(Codes.NO_LEADER, "its keeper is away; send it again"));
+                answer.accept(partition == null ? Reply.of(ResultCode.NO_MESSAGE, "no step " + step + "; give the Message-Name") : Reply.of(ResultCode.NO_LEADER, "its storage node is away; send it again"));
                 return;
             }
             var rid = ++lastGather;
@@ -576,7 +577,7 @@
             wire.send(ip, Frame.of("steps.order").with("rid", rid).with("step", step).with("drop", drop));
             clock.after(2 * STEP_ASK_US, () -> {
                 synchronized (this) {
-                    Optional.ofNullable(stepOrders.remove(rid)).ifPresent(waits -> waits.accept(Reply.of(Codes.NO_LEADER, "unclear; send it again")));
+                    Optional.ofNullable(stepOrders.remove(rid)).ifPresent(waits -> waits.accept(Reply.of(ResultCode.NO_LEADER, "unclear; send it again")));
                 }
             });
         }
@@ -584,10 +585,10 @@
 
     private synchronized void onStepsDone(Frame frame) {
         Optional.ofNullable(stepOrders.remove(frame.number("rid"))).ifPresent(answer -> answer.accept(switch (frame.text("r")) {
-            case "done" -> Reply.of(Codes.FINE);
-            case "free" -> Reply.of(Codes.NOT_HELD, "it is not held back by a step");
-            case "none" -> Reply.of(Codes.NO_MESSAGE, "no such step waits");
-            default -> Reply.of(Codes.NO_LEADER, "its line moves; send it again");
+            case "done" -> Reply.of(ResultCode.FINE);
+            case "free" -> Reply.of(ResultCode.NOT_HELD, "it is not held back by a step");
+            case "none" -> Reply.of(ResultCode.NO_MESSAGE, "no such step waits");
+            default -> Reply.of(ResultCode.NO_LEADER, "its partition moves; send it again");
         }));
     }
 
@@ -599,11 +600,11 @@
         }
         synchronized (this) {
             if (fromUs >= toUs || toUs - fromUs > HISTORY_MOST_US || gathers.size() >= GATHERS_MOST) {
-                answer.accept(fromUs < toUs && toUs - fromUs <= HISTORY_MOST_US ? Reply.of(Codes.NO_LEADER, "too many questions at once") : Reply.of(Codes.BAD_RANGE, "from must lie before to, 400 days apart at most"));
+                answer.accept(fromUs < toUs && toUs - fromUs <= HISTORY_MOST_US ? Reply.of(ResultCode.NO_LEADER, "too many questions at once") : Reply.of(ResultCode.BAD_RANGE, "from must lie before to, 400 days apart at most"));
                 return;
             }
             var rid = ++lastGather;
-            var gather = new HistoryGather(fromUs, toUs, holders.values().stream().filter(holder -> !holder.member.role().equals("pilot")).map(holder -> holder.member).toList(), answer);
+            var gather = new HistoryGather(fromUs, toUs, holders.values().stream().filter(holder -> !holder.member.role().equals("control")).map(holder -> holder.member).toList(), answer);
             gathers.put(rid, gather);
             askHistory(rid, gather, HISTORY_TRIES);
         }
@@ -615,7 +616,7 @@
         }
         if (tries == 0 || gather.whole()) {
             gathers.remove(rid);
-            gather.tell(service -> charter().service(service).map(Charter.Service::pull).orElse(false), coreUs());
+            gather.tell(service -> configuration().service(service).map(Configuration.Service::pull).orElse(false), coreUs());
             return;
         }
         gather.missing().forEach(member -> wire.send(member.ip(), Frame.of("history.ask").with("rid", rid).with("from", gather.fromUs()).with("to", gather.toUs())));
@@ -649,23 +650,23 @@
     private static Reply jsonReply(String field, JsonArray list) {
         var root = new JsonObject();
         root.add(field, list);
-        return new Reply(Codes.FINE, "", root.toString().getBytes(StandardCharsets.UTF_8));
+        return new Reply(ResultCode.FINE, "", root.toString().getBytes(StandardCharsets.UTF_8));
     }
 
     public Reply nodes() {
         return elsewhere("/Nodes.Read").orElseGet(() -> {
             synchronized (this) {
                 var list = new JsonArray();
-                list.add(node(options.ip(), "pilot", options.zone(), "leads term " + raft.term() + ", majority for " + raft.majorityForUs() / 1000 + " ms, " + raft.voters().size() + " vote"));
-                raft.standings().forEach(each -> list.add(node(each.ip(), "pilot", "", standing(each))));
+                list.add(node(options.ip(), "control", options.zone(), "leads term " + raft.term() + ", majority for " + raft.majorityForUs() / 1000 + " ms, " + raft.voters().size() + " vote"));
+                raft.standings().forEach(each -> list.add(node(each.ip(), "control", "", standing(each))));
                 holders.values().forEach(holder -> list.add(node(holder.member.id(), holder.member.role(), holder.member.zone(), holder.leaving ? "leaving" : retiring.contains(nodeOf(holder.member.id())) ? "retiring" : "well")));
                 return jsonReply("Nodes", list);
             }
         });
     }
 
-    private static String standing(Raft.Standing pilot) {
-        return (pilot.votes() ? "votes" : "learns") + ", " + pilot.behind() + " entries behind, heard " + pilot.silentUs() / 1000 + " ms ago" + (pilot.blank() ? ", empty disk" : "") + (pilot.leaving() ? ", leaving" : "");
+    private static String standing(Raft.Standing control) {
+        return (control.votes() ? "votes" : "learns") + ", " + control.behind() + " entries behind, heard " + control.silentUs() / 1000 + " ms ago" + (control.blank() ? ", empty disk" : "") + (control.leaving() ? ", leaving" : "");
     }
 
     private static JsonObject node(String name, String role, String zone, String standing) {
@@ -677,17 +678,17 @@
         return row;
     }
 
-    public Reply linesNow() {
+    public Reply partitionsNow() {
         return elsewhere("/Lines.Read").orElseGet(() -> {
             synchronized (this) {
                 var list = new JsonArray();
-                lines.values().forEach(line -> {
+                partitions.values().forEach(partition -> {
                     var row = new JsonObject();
-                    row.addProperty("Line", line.number());
-                    row.addProperty("Epoch", line.epoch());
-                    row.addProperty("Copies", String.join(" ", line.copies()));
-                    row.addProperty("Joining", line.joining());
-                    row.addProperty("Missing", Math.max(0, full() - line.copies().size()));
+                    row.addProperty("Line", partition.number());
+                    row.addProperty("Epoch", partition.epoch());
+                    row.addProperty("Copies", String.join(" ", partition.copies()));
+                    row.addProperty("Joining", partition.joining());
+                    row.addProperty("Missing", Math.max(0, full() - partition.copies().size()));
                     list.add(row);
                 });
                 return jsonReply("Lines", list);
@@ -699,13 +700,13 @@
         raft.learn();
     }
 
-    private long claimUs(Holder holder) {
-        return holder.member.role().equals("keeper") ? KEEPER_CLAIM_US : options.revokeUs() - 500_000;
+    private long leaseUs(Holder holder) {
+        return holder.member.role().equals("storage") ? STORAGE_CLAIM_US : options.revokeUs() - 500_000;
     }
 
     private boolean alive(Holder holder) {
         var nowUs = clock.steadyUs();
-        return nowUs - holder.heardUs < claimUs(holder) && !(holder.member.role().equals("keeper") && nowUs - holder.downUs > DOWN_CLAIM_US);
+        return nowUs - holder.heardUs < leaseUs(holder) && !(holder.member.role().equals("storage") && nowUs - holder.downUs > DOWN_CLAIM_US);
     }
 
     private boolean alive(String id) {
@@ -713,7 +714,7 @@
     }
 
     private boolean settled() {
-        return clock.steadyUs() - ledSinceUs > KEEPER_CLAIM_US + 400_000;
+        return clock.steadyUs() - ledSinceUs > STORAGE_CLAIM_US + 400_000;
     }
 
     private void dropLapsed() {
@@ -722,15 +723,15 @@
             return;
         }
         gone.forEach(holders::remove);
-        LOG.log(System.Logger.Level.INFO, "claims lapsed: " + gone);
+        LOG.log(System.Logger.Level.INFO, "leases lapsed: " + gone);
         memberVersion++;
     }
 
     private boolean usable(Holder holder) {
-        return holder.member.role().equals("keeper") && alive(holder) && !holder.leaving && !retiring.contains(nodeOf(holder.member.id()));
+        return holder.member.role().equals("storage") && alive(holder) && !holder.leaving && !retiring.contains(nodeOf(holder.member.id()));
     }
 
-    private List<String> usableKeepers() {
+    private List<String> usableStorageNodes() {
         return holders.values().stream().filter(this::usable).map(holder -> holder.member.id()).sorted().toList();
     }
 
@@ -738,18 +739,18 @@
         if (planning) {
             return;
         }
-        var keepers = usableKeepers();
-        var changes = lines.isEmpty() ? firstPlacement(keepers) : repairs(keepers);
+        var storageNodes = usableStorageNodes();
+        var changes = partitions.isEmpty() ? firstPlacement(storageNodes) : repairs(storageNodes);
         if (changes.isEmpty()) {
             return;
         }
-        proposeLines(changes);
+        proposePartitions(changes);
     }
 
-    private void proposeLines(List<Layout.Line> changes) {
+    private void proposePartitions(List<ClusterView.Partition> changes) {
         planning = true;
-        LOG.log(System.Logger.Level.INFO, "moves " + changes.size() + " lines, first " + changes.get(0));
-        var command = Frame.of("lines").with("lines", changes.stream().map(Layout.Line::frame).toList()).pack();
+        LOG.log(System.Logger.Level.INFO, "moves " + changes.size() + " partitions, first " + changes.get(0));
+        var command = Frame.of("lines").with("lines", changes.stream().map(ClusterView.Partition::frame).toList()).pack();
         raft.propose(command, done -> {
             synchronized (this) {
                 planning = false;
@@ -765,124 +766,124 @@
         return Math.max(2, full() - 1);
     }
 
-    private List<Layout.Line> firstPlacement(List<String> keepers) {
+    private List<ClusterView.Partition> firstPlacement(List<String> storageNodes) {
         var nowUs = clock.steadyUs();
-        var patient = nowUs - newestKeeperUs > 1_000_000 || nowUs - firstKeeperUs > 5_000_000;
-        if (keepers.size() < full() || !patient) {
+        var patient = nowUs - newestStorageUs > 1_000_000 || nowUs - firstStorageUs > 5_000_000;
+        if (storageNodes.size() < full() || !patient) {
             return List.of();
         }
         var weights = new HashMap<String, Integer>();
-        var changes = new ArrayList<Layout.Line>();
-        for (var number = 0; number < Layout.LINES; number++) {
-            var copies = new ArrayList<>(List.of(keepers.get(number % keepers.size())));
+        var changes = new ArrayList<ClusterView.Partition>();
+        for (var number = 0; number < ClusterView.PARTITIONS; number++) {
+            var copies = new ArrayList<>(List.of(storageNodes.get(number % storageNodes.size())));
             weights.merge(copies.get(0), 1, Integer::sum);
             while (copies.size() < full()) {
-                copies.add(pick(copies, copies, keepers, weights));
+                copies.add(pick(copies, copies, storageNodes, weights));
             }
-            changes.add(new Layout.Line(number, 1, List.copyOf(copies), "", full(), 0));
+            changes.add(new ClusterView.Partition(number, 1, List.copyOf(copies), "", full(), 0));
         }
         return changes;
     }
 
-    private List<Layout.Line> repairs(List<String> keepers) {
+    private List<ClusterView.Partition> repairs(List<String> storageNodes) {
         var weights = new HashMap<String, Integer>();
-        lines.values().forEach(line -> {
-            line.copies().forEach(id -> weights.merge(id, 1, Integer::sum));
-            weights.merge(line.joining(), 1, Integer::sum);
+        partitions.values().forEach(partition -> {
+            partition.copies().forEach(id -> weights.merge(id, 1, Integer::sum));
+            weights.merge(partition.joining(), 1, Integer::sum);
         });
         if (!settled()) {
-            return lines.values().stream().map(line -> beforeSettled(line, keepers, weights)).flatMap(Optional::stream).toList();
+            return partitions.values().stream().map(partition -> beforeSettled(partition, storageNodes, weights)).flatMap(Optional::stream).toList();
         }
-        var changes = new ArrayList<Layout.Line>();
+        var changes = new ArrayList<ClusterView.Partition>();
         var calm = true;
-        for (var line : lines.values()) {
-            var next = repair(line, keepers, weights);
-            calm &= next.isEmpty() && line.copies().size() >= full() && line.joining().isEmpty();
+        for (var partition : partitions.values()) {
+            var next = repair(partition, storageNodes, weights);
+            calm &= next.isEmpty() && partition.copies().size() >= full() && partition.joining().isEmpty();
             next.ifPresent(changes::add);
         }
-        return calm ? balance(keepers) : changes;
+        return calm ? balance(storageNodes) : changes;
     }
 
-    private Optional<Layout.Line> beforeSettled(Layout.Line line, List<String> keepers, Map<String, Integer> weights) {
-        var live = line.copies().stream().filter(this::alive).toList();
-        if (live.size() == line.copies().size()) {
-            return alive(line.joining()) ? joined(line) : Optional.empty();
+    private Optional<ClusterView.Partition> beforeSettled(ClusterView.Partition partition, List<String> storageNodes, Map<String, Integer> weights) {
+        var live = partition.copies().stream().filter(this::alive).toList();
+        if (live.size() == partition.copies().size()) {
+            return alive(partition.joining()) ? joined(partition) : Optional.empty();
         }
-        var lostForGood = line.copies().stream().allMatch(id -> live.contains(id) || reborn(id));
-        return live.isEmpty() || !lostForGood ? Optional.empty() : Optional.of(line.with(live, pick(live, line.copies(), keepers, weights), afterLoss()));
+        var lostForGood = partition.copies().stream().allMatch(id -> live.contains(id) || reborn(id));
+        return live.isEmpty() || !lostForGood ? Optional.empty() : Optional.of(partition.with(live, pick(live, partition.copies(), storageNodes, weights), afterLoss()));
     }
 
-    private Optional<Layout.Line> repair(Layout.Line line, List<String> keepers, Map<String, Integer> weights) {
-        var live = line.copies().stream().filter(this::alive).toList();
+    private Optional<ClusterView.Partition> repair(ClusterView.Partition partition, List<String> storageNodes, Map<String, Integer> weights) {
+        var live = partition.copies().stream().filter(this::alive).toList();
         if (live.isEmpty()) {
-            return rescue(line, keepers, weights);
+            return rescue(partition, storageNodes, weights);
         }
-        var joins = alive(line.joining());
-        if (live.size() < line.copies().size()) {
-            return Optional.of(line.with(live, joins ? line.joining() : pick(live, line.copies(), keepers, weights), afterLoss()));
+        var joins = alive(partition.joining());
+        if (live.size() < partition.copies().size()) {
+            return Optional.of(partition.with(live, joins ? partition.joining() : pick(live, partition.copies(), storageNodes, weights), afterLoss()));
         }
-        if (!line.joining().isEmpty()) {
-            return joined(line).or(() -> joins ? joinsInstead(line, keepers, weights) : Optional.of(line.with(line.copies(), "", line.need())));
+        if (!partition.joining().isEmpty()) {
+            return joined(partition).or(() -> joins ? joinsInstead(partition, storageNodes, weights) : Optional.of(partition.with(partition.copies(), "", partition.need())));
         }
-        var again = live.stream().filter(id -> restarted.contains(line.number() + "/" + id)).findFirst();
-        if (again.isPresent() && line.backups().contains(again.get())) {
-            return Optional.of(without(line, again.get()));
+        var again = live.stream().filter(id -> restarted.contains(partition.number() + "/" + id)).findFirst();
+        if (again.isPresent() && partition.backups().contains(again.get())) {
+            return Optional.of(without(partition, again.get()));
         }
         if (live.size() < full()) {
-            var joining = pick(live, live, keepers, weights);
-            return joining.isEmpty() ? Optional.empty() : Optional.of(line.with(live, joining, line.need()));
+            var joining = pick(live, live, storageNodes, weights);
+            return joining.isEmpty() ? Optional.empty() : Optional.of(partition.with(live, joining, partition.need()));
         }
-        return relieve(line, keepers, weights);
+        return relieve(partition, storageNodes, weights);
     }
 
-    private Optional<Layout.Line> joinsInstead(Layout.Line line, List<String> keepers, Map<String, Integer> weights) {
-        if (keepers.contains(line.joining())) {
+    private Optional<ClusterView.Partition> joinsInstead(ClusterView.Partition partition, List<String> storageNodes, Map<String, Integer> weights) {
+        if (storageNodes.contains(partition.joining())) {
             return Optional.empty();
         }
-        var other = pick(line.copies(), line.copies(), keepers, weights);
-        return other.isEmpty() ? Optional.empty() : Optional.of(line.with(line.copies(), other, line.need()));
+        var other = pick(partition.copies(), partition.copies(), storageNodes, weights);
+        return other.isEmpty() ? Optional.empty() : Optional.of(partition.with(partition.copies(), other, partition.need()));
     }
 
-    private Optional<Layout.Line> relieve(Layout.Line line, List<String> keepers, Map<String, Integer> weights) {
-        if (keepers.containsAll(line.copies())) {
+    private Optional<ClusterView.Partition> relieve(ClusterView.Partition partition, List<String> storageNodes, Map<String, Integer> weights) {
+        if (storageNodes.containsAll(partition.copies())) {
             return Optional.empty();
         }
-        var joining = pick(line.copies(), line.copies(), keepers, weights);
+        var joining = pick(partition.copies(), partition.copies(), storageNodes, weights);
         if (!joining.isEmpty()) {
-            return Optional.of(line.with(line.copies(), joining, line.need()));
+            return Optional.of(partition.with(partition.copies(), joining, partition.need()));
         }
-        var staying = line.backups().stream().anyMatch(keepers::contains);
-        return keepers.contains(line.primary()) || !staying ? Optional.empty() : Optional.of(line.with(stayingFirst(line.copies(), keepers), "", line.need()));
+        var staying = partition.backups().stream().anyMatch(storageNodes::contains);
+        return storageNodes.contains(partition.primary()) || !staying ? Optional.empty() : Optional.of(partition.with(stayingFirst(partition.copies(), storageNodes), "", partition.need()));
     }
 
-    private static List<String> stayingFirst(List<String> copies, List<String> keepers) {
+    private static List<String> stayingFirst(List<String> copies, List<String> storageNodes) {
         var sorted = new ArrayList<>(copies);
-        sorted.sort((a, b) -> Boolean.compare(keepers.contains(b), keepers.contains(a)));
+        sorted.sort((a, b) -> Boolean.compare(storageNodes.contains(b), storageNodes.contains(a)));
         return sorted;
     }
 
-    private Optional<Layout.Line> joined(Layout.Line line) {
-        if (line.joining().isEmpty() || !joinReports.getOrDefault(line.number() + "/" + line.joining(), -1L).equals(line.epoch())) {
+    private Optional<ClusterView.Partition> joined(ClusterView.Partition partition) {
+        if (partition.joining().isEmpty() || !joinReports.getOrDefault(partition.number() + "/" + partition.joining(), -1L).equals(partition.epoch())) {
             return Optional.empty();
         }
-        var grown = new ArrayList<>(line.copies());
-        grown.add(line.joining());
-        if (line.copies().size() < full()) {
-            return Optional.of(line.with(grown, "", grown.size() >= full() ? full() : line.need()));
+        var grown = new ArrayList<>(partition.copies());
+        grown.add(partition.joining());
+        if (partition.copies().size() < full()) {
+            return Optional.of(partition.with(grown, "", grown.size() >= full() ? full() : partition.need()));
         }
-        var keepers = usableKeepers();
-        var goers = line.copies().stream().filter(id -> !keepers.contains(id)).toList();
+        var storageNodes = usableStorageNodes();
+        var goers = partition.copies().stream().filter(id -> !storageNodes.contains(id)).toList();
         if (!goers.isEmpty()) {
-            var handsOver = goers.contains(line.primary()) && goers.size() < line.copies().size();
-            grown.remove(handsOver ? line.primary() : goers.get(goers.size() - 1));
-            return Optional.of(line.with(stayingFirst(grown, keepers), "", full()));
+            var handsOver = goers.contains(partition.primary()) && goers.size() < partition.copies().size();
+            grown.remove(handsOver ? partition.primary() : goers.get(goers.size() - 1));
+            return Optional.of(partition.with(stayingFirst(grown, storageNodes), "", full()));
         }
-        grown.remove(heaviest(line.backups()));
-        if (primaries(line.primary()) > primaries(line.joining()) + 1) {
-            grown.remove(line.joining());
-            grown.add(0, line.joining());
+        grown.remove(heaviest(partition.backups()));
+        if (primaries(partition.primary()) > primaries(partition.joining()) + 1) {
+            grown.remove(partition.joining());
+            grown.add(0, partition.joining());
         }
-        return Optional.of(line.with(grown, "", full()));
+        return Optional.of(partition.with(grown, "", full()));
     }
 
     private String zone(String id) {
@@ -894,31 +895,31 @@
     }
 
     private long copies(String id) {
-        return lines.values().stream().filter(line -> line.has(id)).count();
+        return partitions.values().stream().filter(partition -> partition.has(id)).count();
     }
 
     private long primaries(String id) {
-        return lines.values().stream().filter(line -> line.primary().equals(id)).count();
+        return partitions.values().stream().filter(partition -> partition.primary().equals(id)).count();
     }
 
     private boolean reborn(String gone) {
         return holders.keySet().stream().anyMatch(id -> nodeOf(id).equals(nodeOf(gone)) && !id.equals(gone));
     }
 
-    private Optional<Layout.Line> rescue(Layout.Line line, List<String> keepers, Map<String, Integer> weights) {
-        if (!line.copies().stream().allMatch(this::reborn) || keepers.isEmpty()) {
+    private Optional<ClusterView.Partition> rescue(ClusterView.Partition partition, List<String> storageNodes, Map<String, Integer> weights) {
+        if (!partition.copies().stream().allMatch(this::reborn) || storageNodes.isEmpty()) {
             return Optional.empty();
         }
-        var last = alive(line.joining()) ? line.joining() : "";
-        LOG.log(System.Logger.Level.ERROR, "code=" + Codes.LINE_LOST.number() + " line " + line.number() + " has no copy left and starts " + (last.isEmpty() ? "empty" : "from what " + last + " has of it"));
-        var primary = List.of(last.isEmpty() ? keepers.get(line.number() % keepers.size()) : last);
-        return Optional.of(line.with(primary, pick(primary, primary, keepers, weights), full()));
+        var last = alive(partition.joining()) ? partition.joining() : "";
+        LOG.log(System.Logger.Level.ERROR, "code=" + ResultCode.LINE_LOST.number() + " partition " + partition.number() + " has no copy left and starts " + (last.isEmpty() ? "empty" : "from what " + last + " has of it"));
+        var primary = List.of(last.isEmpty() ? storageNodes.get(partition.number() % storageNodes.size()) : last);
+        return Optional.of(partition.with(primary, pick(primary, primary, storageNodes, weights), full()));
     }
 
-    private String pick(List<String> copies, List<String> avoided, List<String> keepers, Map<String, Integer> weights) {
+    private String pick(List<String> copies, List<String> avoided, List<String> storageNodes, Map<String, Integer> weights) {
         var best = "";
         var bestWeight = Long.MAX_VALUE;
-        for (var id : keepers) {
+        for (var id : storageNodes) {
             if (copies.contains(id) || avoided.contains(id)) {
                 continue;
             }
@@ -943,8 +944,8 @@
         return !copies.isEmpty() && zone(copies.get(0)).equals(zone(id)) ? 0 : NEAR;
     }
 
-    private boolean fits(Layout.Line line, String goer, String id, Map<String, Integer> loads) {
-        var others = line.copies().stream().filter(copy -> !copy.equals(goer)).toList();
+    private boolean fits(ClusterView.Partition partition, String goer, String id, Map<String, Integer> loads) {
+        var others = partition.copies().stream().filter(copy -> !copy.equals(goer)).toList();
         if (zone(id).equals(zone(goer))) {
             return true;
         }
@@ -953,50 +954,50 @@
         return (options.surviveZones() > 0 ? here == 0 : here < others.size()) && (!keeps || loads.get(goer) > loads.get(id) + FAR_BALANCE);
     }
 
-    private List<Layout.Line> balance(List<String> keepers) {
+    private List<ClusterView.Partition> balance(List<String> storageNodes) {
         var nowUs = clock.steadyUs();
-        if (nowUs - lastBalanceUs < 500_000 || keepers.size() < full()) {
+        if (nowUs - lastBalanceUs < 500_000 || storageNodes.size() < full()) {
             return List.of();
         }
         lastBalanceUs = nowUs;
         var loads = new HashMap<String, Integer>();
         var leads = new HashMap<String, Integer>();
-        keepers.forEach(id -> {
+        storageNodes.forEach(id -> {
             loads.put(id, 0);
             leads.put(id, 0);
         });
-        lines.values().forEach(line -> {
-            line.copies().forEach(id -> loads.merge(id, 1, Integer::sum));
-            leads.merge(line.primary(), 1, Integer::sum);
+        partitions.values().forEach(partition -> {
+            partition.copies().forEach(id -> loads.merge(id, 1, Integer::sum));
+            leads.merge(partition.primary(), 1, Integer::sum);
         });
-        var changes = new ArrayList<Layout.Line>();
-        for (var line : lines.values()) {
+        var changes = new ArrayList<ClusterView.Partition>();
+        for (var partition : partitions.values()) {
             if (changes.size() >= BALANCED_AT_ONCE) {
                 break;
             }
-            balance(line, keepers, loads, leads).ifPresent(changes::add);
+            balance(partition, storageNodes, loads, leads).ifPresent(changes::add);
         }
         return changes;
     }
 
-    private Optional<Layout.Line> balance(Layout.Line line, List<String> keepers, Map<String, Integer> loads, Map<String, Integer> leads) {
-        var idlest = line.backups().stream().min((a, b) -> Integer.compare(leads.getOrDefault(a, 0), leads.getOrDefault(b, 0))).orElseThrow();
-        if (leads.get(line.primary()) > leads.getOrDefault(idlest, 0) + 1) {
-            leads.merge(line.primary(), -1, Integer::sum);
+    private Optional<ClusterView.Partition> balance(ClusterView.Partition partition, List<String> storageNodes, Map<String, Integer> loads, Map<String, Integer> leads) {
+        var idlest = partition.backups().stream().min((a, b) -> Integer.compare(leads.getOrDefault(a, 0), leads.getOrDefault(b, 0))).orElseThrow();
+        if (leads.get(partition.primary()) > leads.getOrDefault(idlest, 0) + 1) {
+            leads.merge(partition.primary(), -1, Integer::sum);
             leads.merge(idlest, 1, Integer::sum);
-            var order = new ArrayList<>(line.copies());
+            var order = new ArrayList<>(partition.copies());
             order.remove(idlest);
             order.add(0, idlest);
-            return Optional.of(line.with(order, "", line.need()));
+            return Optional.of(partition.with(order, "", partition.need()));
         }
-        var heavier = heaviest(line.backups());
-        var lightest = keepers.stream().filter(id -> !line.has(id) && fits(line, heavier, id, loads)).min((a, b) -> Integer.compare(loads.get(a), loads.get(b)));
+        var heavier = heaviest(partition.backups());
+        var lightest = storageNodes.stream().filter(id -> !partition.has(id) && fits(partition, heavier, id, loads)).min((a, b) -> Integer.compare(loads.get(a), loads.get(b)));
         if (lightest.isEmpty() || loads.get(heavier) <= loads.get(lightest.get()) + 1) {
             return Optional.empty();
         }
         loads.merge(heavier, -1, Integer::sum);
         loads.merge(lightest.get(), 1, Integer::sum);
-        return Optional.of(line.with(line.copies(), lightest.get(), line.need()));
+        return Optional.of(partition.with(partition.copies(), lightest.get(), partition.need()));
     }
 
     private synchronized void onLevel(Frame frame) {
@@ -1010,46 +1011,46 @@
     }
 
     private synchronized void onLost(Frame frame) {
-        var line = lines.get(frame.small("line"));
-        if (!raft.leadsFreshly() || planning || line == null || line.epoch() != frame.number("epoch")) {
+        var partition = partitions.get(frame.small("line"));
+        if (!raft.leadsFreshly() || planning || partition == null || partition.epoch() != frame.number("epoch")) {
             return;
         }
         var node = frame.text("node");
-        if (line.backups().contains(node)) {
-            want(without(line, node));
-        } else if (node.equals(line.joining())) {
-            want(line.with(line.copies(), "", line.need()));
+        if (partition.backups().contains(node)) {
+            want(without(partition, node));
+        } else if (node.equals(partition.joining())) {
+            want(partition.with(partition.copies(), "", partition.need()));
         }
     }
 
     private synchronized void onReopen(Frame frame) {
-        var line = lines.get(frame.small("line"));
-        if (!raft.leadsFreshly() || planning || line == null || line.epoch() != frame.number("epoch") || !line.primary().equals(frame.text("node"))) {
+        var partition = partitions.get(frame.small("line"));
+        if (!raft.leadsFreshly() || planning || partition == null || partition.epoch() != frame.number("epoch") || !partition.primary().equals(frame.text("node"))) {
             return;
         }
-        var live = line.backups().stream().filter(this::alive).toList();
-        if (live.isEmpty() && !line.backups().isEmpty() && !settled()) {
+        var live = partition.backups().stream().filter(this::alive).toList();
+        if (live.isEmpty() && !partition.backups().isEmpty() && !settled()) {
             return;
         }
-        want(live.isEmpty() ? line.with(List.of(line.primary()), "", afterLoss()) : line.with(live, line.primary(), afterLoss()));
+        want(live.isEmpty() ? partition.with(List.of(partition.primary()), "", afterLoss()) : partition.with(live, partition.primary(), afterLoss()));
     }
 
-    private Layout.Line without(Layout.Line line, String node) {
-        return line.with(line.copies().stream().filter(id -> !id.equals(node)).toList(), alive(node) ? node : "", afterLoss());
+    private ClusterView.Partition without(ClusterView.Partition partition, String node) {
+        return partition.with(partition.copies().stream().filter(id -> !id.equals(node)).toList(), alive(node) ? node : "", afterLoss());
     }
 
-    private void want(Layout.Line line) {
+    private void want(ClusterView.Partition partition) {
         if (wanted.isEmpty()) {
             clock.after(WANTED_US, this::proposeWanted);
         }
-        wanted.putIfAbsent(line.number(), line);
+        wanted.putIfAbsent(partition.number(), partition);
     }
 
     private synchronized void proposeWanted() {
         var changes = List.copyOf(wanted.values());
         wanted.clear();
         if (raft.leadsFreshly() && !planning && !changes.isEmpty()) {
-            proposeLines(changes);
+            proposePartitions(changes);
         }
     }
 
@@ -1069,7 +1070,7 @@
         }
     }
 
-    private synchronized Orders.Verdict judge(byte[] bytes, Optional<Long> base) {
+    private synchronized OperatorApi.Verdict judge(byte[] bytes, Optional<Long> base) {
         return orders.judge(bytes, base);
     }
 
@@ -1079,12 +1080,12 @@
     }
 
     private static Reply unclear() {
-        return Reply.of(Codes.NO_LEADER, "unclear; send it again");
+        return Reply.of(ResultCode.NO_LEADER, "unclear; send it again");
     }
 
     private void propose(byte[] bytes, long base, Consumer<Reply> answer) {
         if (!raft.enough()) {
-            LOG.log(System.Logger.Level.ERROR, "code=" + Codes.FEW_VOTERS.number() + " a configuration is taken with " + raft.voters().size() + " voters");
+            LOG.log(System.Logger.Level.ERROR, "code=" + ResultCode.FEW_VOTERS.number() + " a configuration is taken with " + raft.voters().size() + " voters");
         }
         raft.propose(Frame.of("config").with("base", base).with("bytes", bytes).pack(), done -> answer.accept(done ? outcome(bytes, base) : unclear()));
     }
@@ -1094,7 +1095,7 @@
     }
 
     private synchronized Optional<Reply> gathering() {
-        return !raft.enough() && clock.steadyUs() - ledSinceUs < GATHER_US ? Optional.of(Reply.of(Codes.NO_LEADER, "voters are still gathering")) : Optional.empty();
+        return !raft.enough() && clock.steadyUs() - ledSinceUs < GATHER_US ? Optional.of(Reply.of(ResultCode.NO_LEADER, "voters are still gathering")) : Optional.empty();
     }
 
     private void proven(String target, Consumer<Reply> answer, Runnable then) {
@@ -1118,9 +1119,9 @@
         }
         var leader = raft.leader();
         if (leader.isEmpty() || leader.equals(options.ip())) {
-            return Optional.of(Reply.of(Codes.NO_LEADER, "no leader yet"));
+            return Optional.of(Reply.of(ResultCode.NO_LEADER, "no leader yet"));
         }
-        return Optional.of(new Reply(Codes.ELSEWHERE, "http://" + leader + ":" + Options.portOf(options.control()) + target, new byte[0]));
+        return Optional.of(new Reply(ResultCode.ELSEWHERE, "http://" + leader + ":" + NodeOptions.portOf(options.control()) + target, new byte[0]));
     }
 
     public void read(Consumer<Reply> answer) {
@@ -1128,7 +1129,7 @@
     }
 
     private synchronized Reply readNow() {
-        return new Reply(Codes.FINE, "", orders.readable());
+        return new Reply(ResultCode.FINE, "", orders.readable());
     }
 
     public void retire(String node, Consumer<Reply> answer) {
@@ -1137,23 +1138,23 @@
             if (refusal.isPresent()) {
                 answer.accept(refusal.get());
             } else {
-                raft.propose(Frame.of("retire").with("node", node).pack(), done -> answer.accept(done ? Reply.of(Codes.FINE) : unclear()));
+                raft.propose(Frame.of("retire").with("node", node).pack(), done -> answer.accept(done ? Reply.of(ResultCode.FINE) : unclear()));
             }
         });
     }
 
     private synchronized Optional<Reply> retireRefusal(String node) {
         if (retiring.contains(node)) {
-            return Optional.of(Reply.of(Codes.FINE));
+            return Optional.of(Reply.of(ResultCode.FINE));
         }
         if (!settled()) {
-            return Optional.of(Reply.of(Codes.NO_LEADER, "storage nodes are still gathering"));
+            return Optional.of(Reply.of(ResultCode.NO_LEADER, "storage nodes are still gathering"));
         }
-        if (holders.values().stream().noneMatch(holder -> holder.member.role().equals("keeper") && nodeOf(holder.member.id()).equals(node))) {
-            return Optional.of(Reply.of(Codes.NO_NODE, "no storage node " + node));
+        if (holders.values().stream().noneMatch(holder -> holder.member.role().equals("storage") && nodeOf(holder.member.id()).equals(node))) {
+            return Optional.of(Reply.of(ResultCode.NO_NODE, "no storage node " + node));
         }
-        if (usableKeepers().stream().filter(id -> !nodeOf(id).equals(node)).count() < full()) {
-            return Optional.of(Reply.of(Codes.TOO_FEW, "too few storage nodes would remain"));
+        if (usableStorageNodes().stream().filter(id -> !nodeOf(id).equals(node)).count() < full()) {
+            return Optional.of(Reply.of(ResultCode.TOO_FEW, "too few storage nodes would remain"));
         }
         return Optional.empty();
     }
@@ -1164,21 +1165,21 @@
 
     private synchronized Reply retireStateNow(String node) {
         if (!retiring.contains(node)) {
-            return Reply.of(Codes.NO_NODE, "not retiring: " + node);
+            return Reply.of(ResultCode.NO_NODE, "not retiring: " + node);
         }
-        var finished = settled() && lines.values().stream().allMatch(line -> standsWithout(line, node));
-        return new Reply(Codes.FINE, "", ("{\"State\":\"" + (finished ? "finished" : "running") + "\"}").getBytes(StandardCharsets.UTF_8));
+        var finished = settled() && partitions.values().stream().allMatch(partition -> standsWithout(partition, node));
+        return new Reply(ResultCode.FINE, "", ("{\"State\":\"" + (finished ? "finished" : "running") + "\"}").getBytes(StandardCharsets.UTF_8));
     }
 
-    private boolean standsWithout(Layout.Line line, String node) {
-        return !nodeOf(line.joining()).equals(node) && line.copies().size() >= full() && line.copies().stream().allMatch(id -> alive(id) && !nodeOf(id).equals(node));
+    private boolean standsWithout(ClusterView.Partition partition, String node) {
+        return !nodeOf(partition.joining()).equals(node) && partition.copies().size() >= full() && partition.copies().stream().allMatch(id -> alive(id) && !nodeOf(id).equals(node));
     }
 
     public synchronized boolean wantsRoster() {
         if (!raft.leadsFreshly()) {
             return false;
         }
-        for (var service : charter().services()) {
+        for (var service : configuration().services()) {
             if (!service.pull() && service.endpoint().isEmpty()) {
                 return true;
             }
@@ -1186,7 +1187,7 @@
         return false;
     }
 
-    public synchronized void roster(List<Layout.Processor> fresh) {
+    public synchronized void roster(List<ClusterView.Processor> fresh) {
         var same = fresh.size() == roster.size() && fresh.stream().allMatch(now -> roster.stream().anyMatch(old -> old.id().equals(now.id()) && old.draining() == now.draining()));
         if (!same && raft.leads()) {
             roster = List.copyOf(fresh);
@@ -1194,11 +1195,11 @@
         }
     }
 
-    public synchronized Map<Integer, Layout.Line> lines() {
-        return Map.copyOf(lines);
+    public synchronized Map<Integer, ClusterView.Partition> partitions() {
+        return Map.copyOf(partitions);
     }
 
-    public synchronized Charter charter() {
-        return orders.charter();
+    public synchronized Configuration configuration() {
+        return orders.configuration();
     }
 }
--- a/src/main/java/wellwheel/pilot/HistoryGather.java
+++ b/src/main/java/wellwheel/control/HistoryGather.java
@@ -1,5 +1,10 @@
-package wellwheel.pilot;
+package wellwheel.control;
 
+import wellwheel.cluster.ClusterView;
+import wellwheel.history.HistoryRow;
+import wellwheel.history.QueueHistory;
+import wellwheel.runtime.ResultCode;
+import wellwheel.transport.Frame;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.nio.charset.StandardCharsets;
@@ -13,24 +18,19 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import wellwheel.lantern.Codes;
-import wellwheel.lantern.Frame;
-import wellwheel.lantern.HistoryRow;
-import wellwheel.lantern.Layout;
-import wellwheel.lantern.QueueHistory;
 
 final class HistoryGather {
     private record Place(long startUs, long spanUs, String tenant, String service) { }
 
     private final long fromUs;
     private final long toUs;
-    private final List<Layout.Member> asked;
-    private final Consumer<PilotNode.Reply> answer;
+    private final List<ClusterView.Member> asked;
+    private final Consumer<ControlNode.Reply> answer;
     private final Set<String> answered = new HashSet<>();
     private final Map<String, HistoryRow> rows = new LinkedHashMap<>();
     private long damaged;
 
-    HistoryGather(long fromUs, long toUs, List<Layout.Member> asked, Consumer<PilotNode.Reply> answer) {
+    HistoryGather(long fromUs, long toUs, List<ClusterView.Member> asked, Consumer<ControlNode.Reply> answer) {
         this.fromUs = fromUs;
         this.toUs = toUs;
         this.asked = asked;
@@ -45,7 +45,7 @@
         return toUs;
     }
 
-    List<Layout.Member> missing() {
+    List<ClusterView.Member> missing() {
         return asked.stream().filter(member -> !answered.contains(member.ip())).toList();
     }
 
@@ -67,7 +67,7 @@
     }
 
     void tell(Predicate<String> pulled, long nowUs) {
-        answer.accept(new PilotNode.Reply(Codes.FINE, "", json(pulled, nowUs).toString().getBytes(StandardCharsets.UTF_8)));
+        answer.accept(new ControlNode.Reply(ResultCode.FINE, "", json(pulled, nowUs).toString().getBytes(StandardCharsets.UTF_8)));
     }
 
     JsonObject json(Predicate<String> pulled, long nowUs) {
@@ -91,7 +91,7 @@
         root.add("Intervals", intervals(present, spans, nowUs));
         root.add("Rows", rowsJson(sums));
         root.add("Slots", slotsJson(slots));
-        root.add("Silent", texts(missing().stream().map(Layout.Member::id).toList()));
+        root.add("Silent", texts(missing().stream().map(ClusterView.Member::id).toList()));
         return root;
     }
 
@@ -133,7 +133,7 @@
             row.addProperty("Refused", counts.refused());
             row.addProperty("Started", counts.started());
             row.addProperty("Late", counts.late());
-            row.addProperty("Legs", counts.legs());
+            row.addProperty("Legs", counts.attempts());
             row.addProperty("SlotUs", counts.slotUs());
             row.addProperty("Finished", counts.finished());
             row.addProperty("Failed", counts.failed());
--- a/src/main/java/wellwheel/pilot/Orders.java
+++ b/src/main/java/wellwheel/control/OperatorApi.java
@@ -1,5 +1,8 @@
-package wellwheel.pilot;
+package wellwheel.control;
 
+import wellwheel.config.Configuration;
+import wellwheel.runtime.ResultCode;
+import wellwheel.transport.Frame;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -10,32 +13,29 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import wellwheel.lantern.Charter;
-import wellwheel.lantern.Codes;
-import wellwheel.lantern.Frame;
 
-final class Orders {
+final class OperatorApi {
     static final int TAKEN_MOST = 4096;
     private static final System.Logger LOG = System.getLogger("orders");
     private static final byte[] NO_CONFIG = "{\"Revision\":0,\"Routing\":[],\"Backends\":[]}".getBytes(StandardCharsets.UTF_8);
     private byte[] config = {};
-    private Charter charter = Charter.NONE;
+    private Configuration configuration = Configuration.NONE;
     private final TreeMap<Long, String> taken = new TreeMap<>();
     private final Set<String> digests = new HashSet<>();
     private long forgotten = -1;
 
-    record Verdict(boolean proper, boolean provable, PilotNode.Reply reply) {
-        static Verdict sure(PilotNode.Reply reply) {
+    record Verdict(boolean proper, boolean provable, ControlNode.Reply reply) {
+        static Verdict sure(ControlNode.Reply reply) {
             return new Verdict(false, false, reply);
         }
 
-        static Verdict byState(PilotNode.Reply reply) {
+        static Verdict byState(ControlNode.Reply reply) {
             return new Verdict(false, true, reply);
         }
     }
 
-    Charter charter() {
-        return charter;
+    Configuration configuration() {
+        return configuration;
     }
 
     byte[] config() {
@@ -52,49 +52,49 @@
 
     Verdict judge(byte[] bytes, Optional<Long> base) {
         if (tookEver(bytes)) {
-            return Verdict.sure(PilotNode.Reply.of(Codes.FINE));
+            return Verdict.sure(ControlNode.Reply.of(ResultCode.FINE));
         }
         try {
-            return judge(Charter.read(bytes), base);
-        } catch (Charter.Invalid e) {
-            return Verdict.sure(PilotNode.Reply.of(Codes.BAD_CONFIG, e.getMessage()));
+            return judge(Configuration.read(bytes), base);
+        } catch (Configuration.Invalid e) {
+            return Verdict.sure(ControlNode.Reply.of(ResultCode.BAD_CONFIG, e.getMessage()));
         }
     }
 
-    private Verdict judge(Charter next, Optional<Long> base) {
+    private Verdict judge(Configuration next, Optional<Long> base) {
         if (base.isEmpty()) {
-            return Verdict.sure(PilotNode.Reply.of(Codes.BAD_CONFIG, "Based-On-Version is missing or not a number"));
+            return Verdict.sure(ControlNode.Reply.of(ResultCode.BAD_CONFIG, "Based-On-Version is missing or not a number"));
         }
-        if (base.get() != charter.revision()) {
+        if (base.get() != configuration.revision()) {
             return Verdict.byState(loser(base.get()));
         }
-        if (next.revision() <= charter.revision()) {
-            return Verdict.byState(PilotNode.Reply.of(Codes.BAD_CONFIG, "/Revision: not above the current " + charter.revision()));
+        if (next.revision() <= configuration.revision()) {
+            return Verdict.byState(ControlNode.Reply.of(ResultCode.BAD_CONFIG, "/Revision: not above the current " + configuration.revision()));
         }
-        return new Verdict(true, false, PilotNode.Reply.of(Codes.FINE));
+        return new Verdict(true, false, ControlNode.Reply.of(ResultCode.FINE));
     }
 
-    PilotNode.Reply outcome(byte[] bytes, long base) {
-        return tookEver(bytes) ? PilotNode.Reply.of(Codes.FINE) : loser(base);
+    ControlNode.Reply outcome(byte[] bytes, long base) {
+        return tookEver(bytes) ? ControlNode.Reply.of(ResultCode.FINE) : loser(base);
     }
 
-    private PilotNode.Reply loser(long base) {
-        return base <= forgotten ? PilotNode.Reply.of(Codes.NO_LEADER, "unclear: built on a version too old to remember")
-            : PilotNode.Reply.of(Codes.OTHER_BASE, "the current version is " + charter.revision());
+    private ControlNode.Reply loser(long base) {
+        return base <= forgotten ? ControlNode.Reply.of(ResultCode.NO_LEADER, "unclear: built on a version too old to remember")
+            : ControlNode.Reply.of(ResultCode.OTHER_BASE, "the current version is " + configuration.revision());
     }
 
     void apply(long base, byte[] bytes) {
-        if (base != charter.revision()) {
+        if (base != configuration.revision()) {
             return;
         }
         try {
-            var next = Charter.read(bytes);
-            if (next.revision() > charter.revision()) {
-                charter = next;
+            var next = Configuration.read(bytes);
+            if (next.revision() > configuration.revision()) {
+                configuration = next;
                 config = bytes;
                 remember(base, digest(bytes));
             }
-        } catch (Charter.Invalid e) {
+        } catch (Configuration.Invalid e) {
             LOG.log(System.Logger.Level.ERROR, "refused at apply: " + e.getMessage());
         }
     }
@@ -118,8 +118,8 @@
     void restore(Frame state) {
         config = state.bytes("config");
         try {
-            charter = config.length == 0 ? Charter.NONE : Charter.read(config);
-        } catch (Charter.Invalid e) {
+            configuration = config.length == 0 ? Configuration.NONE : Configuration.read(config);
+        } catch (Configuration.Invalid e) {
             throw new IllegalArgumentException("a configuration that cannot be read: " + e.getMessage(), e);
         }
         taken.clear();
@@ -132,7 +132,7 @@
     private void restoreFormer(List<String> former) {
         if (!former.isEmpty()) {
             digests.addAll(former);
-            forgotten = charter.revision() - 1;
+            forgotten = configuration.revision() - 1;
         }
     }
 
--- a/src/main/java/wellwheel/pilot/StepsGather.java
+++ b/src/main/java/wellwheel/control/StepsGather.java
@@ -1,5 +1,7 @@
-package wellwheel.pilot;
+package wellwheel.control;
 
+import wellwheel.runtime.ResultCode;
+import wellwheel.transport.Frame;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.nio.charset.StandardCharsets;
@@ -12,15 +14,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import wellwheel.lantern.Codes;
-import wellwheel.lantern.Frame;
 
 final class StepsGather {
     private static final int NAMES_MOST = 200;
     private static final String[] STATES = {"waiting", "finished", "failed"};
 
     private final String wanted;
-    private final Set<String> keepers = new HashSet<>();
+    private final Set<String> storageNodes = new HashSet<>();
     private final Set<String> asked = new HashSet<>();
     private final Set<String> silent;
     private final Map<String, Frame> rows = new LinkedHashMap<>();
@@ -38,15 +38,15 @@
     }
 
     Frame round(long rid, Set<String> ips) {
-        keepers.clear();
-        keepers.addAll(ips);
+        storageNodes.clear();
+        storageNodes.addAll(ips);
         asked.addAll(names);
         rounds--;
         return Frame.of("steps.read").with("rid", rid).with("failed", wanted.isEmpty()).with("steps", List.<Object>copyOf(names));
     }
 
     void take(String ip, Frame frame) {
-        if (!keepers.remove(ip)) {
+        if (!storageNodes.remove(ip)) {
             return;
         }
         rest += frame.number("rest");
@@ -54,11 +54,11 @@
     }
 
     boolean heardAll() {
-        return keepers.isEmpty();
+        return storageNodes.isEmpty();
     }
 
     boolean goesOn() {
-        silent.addAll(keepers);
+        silent.addAll(storageNodes);
         names = rows.values().stream().map(row -> row.text("k")).distinct().filter(name -> !asked.contains(name)).limit(Math.max(0, NAMES_MOST - asked.size())).toList();
         return rounds > 0 && !names.isEmpty();
     }
@@ -71,10 +71,10 @@
         return rows.values().stream().filter(row -> row.text("of").isEmpty()).filter(row -> row.text("k").equals(wanted) || row.text("k").endsWith("-" + wanted)).findFirst();
     }
 
-    PilotNode.Reply reply() {
+    ControlNode.Reply reply() {
         var first = first();
         if (first.isEmpty()) {
-            return silent.isEmpty() ? PilotNode.Reply.of(Codes.NO_MESSAGE, "no step " + wanted) : PilotNode.Reply.of(Codes.NO_LEADER, "not all keepers answered; ask again");
+            return silent.isEmpty() ? ControlNode.Reply.of(ResultCode.NO_MESSAGE, "no step " + wanted) : ControlNode.Reply.of(ResultCode.NO_LEADER, "not all storage nodes answered; ask again");
         }
         var root = json(first.get());
         var later = new JsonArray();
@@ -82,7 +82,7 @@
         root.add("LaterSteps", later);
         root.addProperty("MoreLaterSteps", rest);
         root.addProperty("KeepersSilent", silent.size());
-        return new PilotNode.Reply(Codes.FINE, "", root.toString().getBytes(StandardCharsets.UTF_8));
+        return new ControlNode.Reply(ResultCode.FINE, "", root.toString().getBytes(StandardCharsets.UTF_8));
     }
 
     private List<Frame> later() {
--- a/src/main/java/wellwheel/pilot/Warnings.java
+++ b/src/main/java/wellwheel/control/Warnings.java
@@ -1,5 +1,7 @@
-package wellwheel.pilot;
+package wellwheel.control;
 
+import wellwheel.runtime.ResultCode;
+import wellwheel.transport.Frame;
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.util.ArrayList;
@@ -10,8 +12,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import wellwheel.lantern.Codes;
-import wellwheel.lantern.Frame;
 
 final class Warnings {
     private static final System.Logger LOG = System.getLogger("warnings");
@@ -32,7 +32,7 @@
 
     enum Kind { UNFAIR, LAGGARD }
 
-    record Warning(Kind kind, String service, String subject, int rank, Set<String> nodes, Set<Long> lines, long valueUs, long peersUs, long sinceUs, long lastUs, String cause) {
+    record Warning(Kind kind, String service, String subject, int rank, Set<String> nodes, Set<Long> partitions, long valueUs, long peersUs, long sinceUs, long lastUs, String cause) {
         JsonObject json() {
             var root = new JsonObject();
             root.addProperty("Kind", kind == Kind.UNFAIR ? "tenant-held-back" : "laggard-worker");
@@ -49,7 +49,7 @@
             root.addProperty("SinceUs", sinceUs);
             root.addProperty("Cause", cause);
             root.add("Nodes", array(nodes));
-            root.add("Lines", array(lines));
+            root.add("Lines", array(partitions));
             return root;
         }
 
@@ -71,18 +71,18 @@
         long aimUs;
         boolean backlog;
         final Set<String> nodes = new TreeSet<>();
-        final Set<Long> lines = new TreeSet<>();
+        final Set<Long> partitions = new TreeSet<>();
     }
 
     private static final class Worker {
-        double legs;
+        double attempts;
         double ratios;
         double longest;
         long ageUs;
         final Set<String> nodes = new TreeSet<>();
 
         double mean() {
-            return legs > 0 ? ratios / legs : 0;
+            return attempts > 0 ? ratios / attempts : 0;
         }
     }
 
@@ -120,7 +120,7 @@
         open.values().removeIf(warning -> {
             var over = nowUs - warning.lastUs() > CALM_US;
             if (over) {
-                LOG.log(System.Logger.Level.INFO, "code=" + Codes.WARNING_ENDS.number() + " " + warning.json());
+                LOG.log(System.Logger.Level.INFO, "code=" + ResultCode.WARNING_ENDS.number() + " " + warning.json());
             }
             return over;
         });
@@ -141,7 +141,7 @@
             if (row.number("n") > 0) {
                 tenant.oldestUs = Math.max(tenant.oldestUs, row.number("o"));
                 tenant.nodes.add(node);
-                tenant.lines.add(row.number("l") - 1);
+                tenant.partitions.add(row.number("l") - 1);
             }
         }));
         partitions.forEach((key, tenants) -> tenants.forEach((name, tenant) -> judge(key, name, tenant, tenants, nowUs)));
@@ -160,16 +160,16 @@
             return;
         }
         var peersUs = median(overtook.stream().map(peer -> (double) peer.frontWaitUs).toList());
-        var cause = floods ? "its own backlog: it sends far more than its peers" : tenant.nodes.size() == 1 ? "held back at one keeper" : "held back at several keepers";
+        var cause = floods ? "its own backlog: it sends far more than its peers" : tenant.nodes.size() == 1 ? "held back at one storage node" : "held back at several storage nodes";
         var cut = key.indexOf('\n');
-        raise(new Warning(Kind.UNFAIR, key.substring(0, cut), name, Integer.parseInt(key.substring(cut + 1)), tenant.nodes, tenant.lines, tenant.oldestUs, (long) peersUs, nowUs, nowUs, cause));
+        raise(new Warning(Kind.UNFAIR, key.substring(0, cut), name, Integer.parseInt(key.substring(cut + 1)), tenant.nodes, tenant.partitions, tenant.oldestUs, (long) peersUs, nowUs, nowUs, cause));
     }
 
     private void judgeWorkers(long nowUs) {
         var services = new TreeMap<String, Map<String, Worker>>();
         digests.forEach((node, digest) -> digest.frame().frames("workers").forEach(row -> {
             var worker = services.computeIfAbsent(row.text("s"), key -> new TreeMap<>()).computeIfAbsent(row.text("w"), key -> new Worker());
-            worker.legs += row.number("n") / 100.0;
+            worker.attempts += row.number("n") / 100.0;
             worker.ratios += row.number("r") / 100.0;
             worker.longest = Math.max(worker.longest, row.number("l") / 100.0);
             worker.ageUs = Math.max(worker.ageUs, row.number("a"));
@@ -179,18 +179,18 @@
     }
 
     private void judge(String service, String name, Worker worker, Map<String, Worker> all, long nowUs) {
-        var peers = all.entrySet().stream().filter(e -> !e.getKey().equals(name) && e.getValue().legs >= 3).map(Map.Entry::getValue).toList();
+        var peers = all.entrySet().stream().filter(e -> !e.getKey().equals(name) && e.getValue().attempts >= 3).map(Map.Entry::getValue).toList();
         if (worker.ageUs < COLD_US || peers.size() < 2) {
             return;
         }
         var usual = median(peers.stream().map(Worker::mean).toList());
         var spread = median(peers.stream().map(peer -> Math.abs(peer.mean() - usual)).toList());
         var peersLongest = median(peers.stream().map(peer -> peer.longest).toList());
-        var slow = worker.legs >= 4 && worker.mean() > LAG * usual * (1 + 1 / Math.sqrt(worker.legs)) && worker.mean() > usual + SPREAD * Math.max(spread, 0.1 * usual);
+        var slow = worker.attempts >= 4 && worker.mean() > LAG * usual * (1 + 1 / Math.sqrt(worker.attempts)) && worker.mean() > usual + SPREAD * Math.max(spread, 0.1 * usual);
         var stuck = worker.longest > STUCK * Math.max(1, usual) && worker.longest > 3 * Math.max(1, peersLongest);
         if (slow || stuck) {
             var value = Math.round(100 * (stuck ? worker.longest : worker.mean()));
-            raise(new Warning(Kind.LAGGARD, service, name, 0, worker.nodes, Set.of(), value, Math.round(usual * 100), nowUs, nowUs, stuck ? "a leg does not end" : "its legs take longer on the same paths"));
+            raise(new Warning(Kind.LAGGARD, service, name, 0, worker.nodes, Set.of(), value, Math.round(usual * 100), nowUs, nowUs, stuck ? "an attempt does not end" : "its attempts take longer on the same paths"));
         }
     }
 
@@ -206,14 +206,14 @@
                 return;
             }
             open.put(key, warning);
-            LOG.log(System.Logger.Level.WARNING, "code=" + (warning.kind() == Kind.UNFAIR ? Codes.HELD_BACK : Codes.LAGGARD).number() + " " + warning.json());
+            LOG.log(System.Logger.Level.WARNING, "code=" + (warning.kind() == Kind.UNFAIR ? ResultCode.HELD_BACK : ResultCode.LAGGARD).number() + " " + warning.json());
             return;
         }
         var nodes = new TreeSet<>(old.nodes());
         nodes.addAll(warning.nodes());
-        var lines = new TreeSet<>(old.lines());
-        lines.addAll(warning.lines());
-        open.put(key, new Warning(old.kind(), old.service(), old.subject(), old.rank(), nodes, lines, Math.max(old.valueUs(), warning.valueUs()), warning.peersUs(), old.sinceUs(), warning.lastUs(), warning.cause()));
+        var partitions = new TreeSet<>(old.partitions());
+        partitions.addAll(warning.partitions());
+        open.put(key, new Warning(old.kind(), old.service(), old.subject(), old.rank(), nodes, partitions, Math.max(old.valueUs(), warning.valueUs()), warning.peersUs(), old.sinceUs(), warning.lastUs(), warning.cause()));
     }
 
     private static double median(Collection<Double> values) {
--- a/src/main/java/wellwheel/gallery/GalleryNode.java
+++ b/src/main/java/wellwheel/edge/EdgeNode.java
@@ -1,5 +1,17 @@
-package wellwheel.gallery;
-
+package wellwheel.edge;
+
+import wellwheel.cluster.ClusterLease;
+import wellwheel.cluster.ClusterView;
+import wellwheel.config.Configuration;
+import wellwheel.config.NodeOptions;
+import wellwheel.history.QueueHistory;
+import wellwheel.runtime.Clock;
+import wellwheel.runtime.ResultCode;
+import wellwheel.runtime.WakeUpTimer;
+import wellwheel.transport.Exchange.Answer;
+import wellwheel.transport.Exchange;
+import wellwheel.transport.Frame;
+import wellwheel.transport.Network;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -11,21 +23,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import wellwheel.lantern.Charter;
-import wellwheel.lantern.Claim;
-import wellwheel.lantern.Clock;
-import wellwheel.lantern.Codes;
-import wellwheel.lantern.Exchange;
-import wellwheel.lantern.Exchange.Answer;
-import wellwheel.lantern.Frame;
-import wellwheel.lantern.Layout;
-import wellwheel.lantern.Options;
-import wellwheel.lantern.QueueHistory;
-import wellwheel.lantern.Waker;
-import wellwheel.lantern.Wire;
-
-public final class GalleryNode implements Wire.Ear {
-    private static final System.Logger LOG = System.getLogger("gallery");
+
+public final class EdgeNode implements Network.MessageHandler {
+    private static final System.Logger LOG = System.getLogger("edge");
     private static final long CLAIM_MARGIN_US = 1_000_000;
     private static final long ASK_AGAIN_US = 250_000;
     private static final long RETRY_US = 25_000;
@@ -46,8 +46,8 @@
         Frame frame;
         String tenantKey;
         String channelKey;
-        Optional<Integer> fixedLine;
-        int line;
+        Optional<Integer> fixedPartition;
+        int partition;
         String sentTo = "";
         long sentUs;
         long holdUntilUs;
@@ -61,7 +61,7 @@
         Exchange exchange;
         Frame frame;
         boolean body;
-        int line;
+        int partition;
         long untilUs;
         final Set<String> asked = new HashSet<>();
         final Set<String> sure = new HashSet<>();
@@ -73,7 +73,7 @@
     private static final class End {
         Exchange exchange;
         Frame frame;
-        int line;
+        int partition;
         long sentUs;
         long untilUs;
     }
@@ -85,7 +85,7 @@
         final String worker;
         final String version;
         final long untilUs;
-        String keeperIp = "";
+        String storageIp = "";
 
         Pull(long token, Exchange exchange, String service, String worker, long untilUs) {
             this.worker = worker;
@@ -97,16 +97,16 @@
         }
     }
 
-    private final Options options;
+    private final NodeOptions options;
     private final Clock clock;
-    private final Wire wire;
-    private final Claim claim;
+    private final Network wire;
+    private final ClusterLease clusterLease;
     private final String id;
-    private final Limiter limiter;
-    private final Relays relays;
+    private final RateLimiter limiter;
+    private final HitRelays relays;
     private final QueueHistory history;
-    private final Waker waker;
-    private List<Layout.Member> peers = List.of();
+    private final WakeUpTimer wakeUps;
+    private List<ClusterView.Member> peers = List.of();
     private long peersVersion = -1;
     private int askedPeers;
     private final Map<String, Long> askedHitsUs = new HashMap<>();
@@ -125,42 +125,42 @@
     private boolean leaving;
     private boolean closing;
 
-    public GalleryNode(Options options, Clock clock, Wire wire, long incarnation) {
+    public EdgeNode(NodeOptions options, Clock clock, Network wire, long incarnation) {
         this.options = options;
         this.clock = clock;
         this.wire = wire;
         this.id = options.node() + "#" + Long.toHexString(incarnation & 0xffffffffL);
-        var seeds = options.seeds().stream().map(Options::hostOf).toList();
-        claim = new Claim(clock, wire, id, seeds, () -> Frame.of("claim").with("role", "gallery").with("zone", options.zone()).with("leaving", leaving), this::onNews);
-        limiter = new Limiter(id, options.windowUs(), claim::coreUs);
-        history = new QueueHistory(options, Long.toHexString(incarnation & 0xffffffffL), Optional.empty(), claim::coreUs);
-        waker = new Waker(clock, this::tick);
-        relays = new Relays(clock, wire, options.zone());
+        var seeds = options.seeds().stream().map(NodeOptions::hostOf).toList();
+        clusterLease = new ClusterLease(clock, wire, id, seeds, () -> Frame.of("claim").with("role", "edge").with("zone", options.zone()).with("leaving", leaving), this::onNews);
+        limiter = new RateLimiter(id, options.windowUs(), clusterLease::coreUs);
+        history = new QueueHistory(options, Long.toHexString(incarnation & 0xffffffffL), Optional.empty(), clusterLease::coreUs);
+        wakeUps = new WakeUpTimer(clock, this::tick);
+        relays = new HitRelays(clock, wire, options.zone());
         relays.named(options.node());
         startedUs = clock.steadyUs();
         lastRid = (incarnation & 0x7fffffffL) << 32;
     }
 
-    public Claim claim() {
-        return claim;
+    public ClusterLease clusterLease() {
+        return clusterLease;
     }
 
-    public Limiter limiter() {
+    public RateLimiter limiter() {
         return limiter;
     }
 
     public synchronized boolean ready() {
-        return !leaving && fresh() && claim.charter().revision() > 0 && caughtUp() && claim.layout().lines().stream().anyMatch(Layout.Line::whole);
+        return !leaving && fresh() && clusterLease.configuration().revision() > 0 && caughtUp() && clusterLease.view().partitions().stream().anyMatch(ClusterView.Partition::whole);
     }
 
     private boolean fresh() {
-        return claim.knowsCore() && claim.ageUs() < options.revokeUs() - CLAIM_MARGIN_US;
+        return clusterLease.knowsCore() && clusterLease.ageUs() < options.revokeUs() - CLAIM_MARGIN_US;
     }
 
-    private List<Layout.Member> peers() {
-        if (claim.layout().memberVersion() != peersVersion) {
-            peersVersion = claim.layout().memberVersion();
-            peers = claim.layout().members("gallery").stream().filter(member -> !member.id().equals(id)).toList();
+    private List<ClusterView.Member> peers() {
+        if (clusterLease.view().memberVersion() != peersVersion) {
+            peersVersion = clusterLease.view().memberVersion();
+            peers = clusterLease.view().members("edge").stream().filter(member -> !member.id().equals(id)).toList();
         }
         return peers;
     }
@@ -169,12 +169,12 @@
         if (clock.steadyUs() - startedUs > 2_000_000) {
             return true;
         }
-        return claim.knowsCore() && claim.layout().memberVersion() > 0 && (Relays.few(peers()) ? peers().stream().allMatch(peer -> caughtUp.contains(peer.id())) : caughtUp.size() >= ASKED_MOST);
+        return clusterLease.knowsCore() && clusterLease.view().memberVersion() > 0 && (HitRelays.few(peers()) ? peers().stream().allMatch(peer -> caughtUp.contains(peer.id())) : caughtUp.size() >= ASKED_MOST);
     }
 
-    private List<Layout.Member> askedForAll() {
+    private List<ClusterView.Member> askedForAll() {
         var asked = peers().stream().filter(peer -> !caughtUp.contains(peer.id())).toList();
-        if (Relays.few(peers()) || asked.size() <= ASKED_MOST) {
+        if (HitRelays.few(peers()) || asked.size() <= ASKED_MOST) {
             return asked;
         }
         var from = Math.floorMod(id.hashCode() + ASKED_MOST * askedPeers++, asked.size());
@@ -184,26 +184,26 @@
     private double share() {
         var nowUs = clock.steadyUs();
         var peers = peers();
-        var heardNow = Relays.few(peers) ? peers.stream().filter(peer -> nowUs - heard.getOrDefault(peer.id(), Long.MIN_VALUE / 2) < HEARD_US).count() : relays.heard(peers);
+        var heardNow = HitRelays.few(peers) ? peers.stream().filter(peer -> nowUs - heard.getOrDefault(peer.id(), Long.MIN_VALUE / 2) < HEARD_US).count() : relays.heard(peers);
         return (1.0 + heardNow) / (1.0 + peers.size());
     }
 
     public synchronized void tick() {
         var nowUs = clock.steadyUs();
         try {
-            claim.tick();
+            clusterLease.tick();
             drainHits(nowUs);
             tickPuts(nowUs);
             tickLooks(nowUs);
             tickEnds(nowUs);
             tickPulls(nowUs);
         } finally {
-            waker.by(Math.max(nowUs + 2_000, dueUs()));
+            wakeUps.by(Math.max(nowUs + 2_000, dueUs()));
         }
     }
 
     private long dueUs() {
-        var due = Math.min(claim.dueUs(), hitsDueUs());
+        var due = Math.min(clusterLease.dueUs(), hitsDueUs());
         for (var put : puts.values()) {
             due = Math.min(due, put.sentTo.isEmpty() ? put.sentUs + RETRY_US : Math.min(put.sentUs + ASK_AGAIN_US, put.giveUpUs));
         }
@@ -211,20 +211,20 @@
             due = Math.min(due, Math.min(end.sentUs + ASK_AGAIN_US, end.untilUs));
         }
         var soonUs = clock.steadyUs() + RETRY_US;
-        return looks.isEmpty() && pulls.values().stream().noneMatch(pull -> pull.keeperIp.isEmpty()) ? due : Math.min(due, soonUs);
+        return looks.isEmpty() && pulls.values().stream().noneMatch(pull -> pull.storageIp.isEmpty()) ? due : Math.min(due, soonUs);
     }
 
     private long hitsDueUs() {
-        if (!claim.knowsCore()) {
+        if (!clusterLease.knowsCore()) {
             return Long.MAX_VALUE;
         }
         var due = drainedUs + (limiter.urgent() ? URGENT_US : Math.min(BEAT_US, limiter.idle() ? BEAT_US : options.syncUs() * QUIET_INTERVALS));
         due = caughtUp() ? due : Math.min(due, askedPeersUs + CATCH_UP_US);
-        return Relays.few(peers()) ? due : Math.min(due, relays.dueUs(options.ip()));
+        return HitRelays.few(peers()) ? due : Math.min(due, relays.dueUs(options.ip()));
     }
 
     private void drainHits(long nowUs) {
-        if (!claim.knowsCore()) {
+        if (!clusterLease.knowsCore()) {
             return;
         }
         if (!caughtUp() && nowUs - askedPeersUs >= CATCH_UP_US) {
@@ -236,7 +236,7 @@
         if (due) {
             flushHits();
         }
-        if (!Relays.few(peers())) {
+        if (!HitRelays.few(peers())) {
             relays.tick(peers(), options.ip());
         }
     }
@@ -246,7 +246,7 @@
         var now = limiter.urgent();
         var frame = limiter.drain();
         var peers = peers();
-        if (Relays.few(peers)) {
+        if (HitRelays.few(peers)) {
             peers.forEach(peer -> wire.send(peer.ip(), frame));
         } else {
             relays.send(frame, now, peers, options.ip());
@@ -269,32 +269,32 @@
 
     private void handIn(Exchange exchange) {
         if (!fresh()) {
-            exchange.answer(Answer.later(Codes.NO_CLAIM, 1));
+            exchange.answer(Answer.later(ResultCode.NO_CLAIM, 1));
             return;
         }
         var host = exchange.header("Host").orElse("");
-        var path = claim.charter().path(host, exchange.target());
+        var path = clusterLease.configuration().path(host, exchange.target());
         if (path.isEmpty()) {
-            exchange.answer(Answer.of(Codes.NO_PATH));
+            exchange.answer(Answer.of(ResultCode.NO_PATH));
             return;
         }
         var tenant = tenant(exchange);
         if (tenant.isEmpty() && !path.get().open()) {
-            exchange.answer(Answer.of(Codes.NO_KEY));
+            exchange.answer(Answer.of(ResultCode.NO_KEY));
             return;
         }
         var name = exchange.header("Attempt-Id").orElse("");
         if (!name.matches("[A-Za-z0-9._\\-]{1,64}")) {
-            exchange.answer(Answer.of(Codes.NO_ID));
+            exchange.answer(Answer.of(ResultCode.NO_ID));
             return;
         }
         var delayMs = number(exchange, "Delay-Ms", 0);
         if (delayMs < 0 || delayMs > 1_000_000_000L) {
-            exchange.answer(Answer.of(Codes.BAD_DELAY));
+            exchange.answer(Answer.of(ResultCode.BAD_DELAY));
             return;
         }
         if (puts.size() >= OPEN_MOST) {
-            exchange.answer(Answer.later(Codes.NOT_KEPT, 1).closing());
+            exchange.answer(Answer.later(ResultCode.NOT_KEPT, 1).closing());
             return;
         }
         var steps = exchange.header("Runs-After");
@@ -305,10 +305,10 @@
         }
     }
 
-    private void checkSteps(Exchange exchange, String list, Charter.Path path, Optional<Charter.Tenant> tenant, String name, long delayUs) {
+    private void checkSteps(Exchange exchange, String list, Configuration.Path path, Optional<Configuration.Tenant> tenant, String name, long delayUs) {
         var names = List.of(list.trim().split(" *, *", -1));
         if (names.size() > STEPS_MOST || names.stream().anyMatch(each -> !each.matches("[A-Za-z0-9._\\-]{1,64}")) || tenant.isEmpty()) {
-            exchange.answer(Answer.of(Codes.BAD_STEPS));
+            exchange.answer(Answer.of(ResultCode.BAD_STEPS));
             return;
         }
         var found = new ArrayList<String>();
@@ -318,7 +318,7 @@
             look.untilUs = clock.steadyUs() + LOOK_US;
             look.step = Optional.of(step -> {
                 if (step.isEmpty()) {
-                    exchange.answer(Answer.of(Codes.NO_STEP));
+                    exchange.answer(Answer.of(ResultCode.NO_STEP));
                     return;
                 }
                 found.add(step);
@@ -330,19 +330,19 @@
         });
     }
 
-    private void admit(Exchange exchange, Charter.Path path, Optional<Charter.Tenant> tenant, String name, long delayUs, List<String> steps) {
+    private void admit(Exchange exchange, Configuration.Path path, Optional<Configuration.Tenant> tenant, String name, long delayUs, List<String> steps) {
         var share = share();
         var put = new Put();
         put.channelKey = "c:" + path.name();
         put.tenantKey = tenant.map(each -> "t:" + each.name()).orElse("");
-        var channel = limiter.hit(put.channelKey, new Limiter.Limit(options.channelPerS(), options.channelPerS()), share);
+        var channel = limiter.hit(put.channelKey, new RateLimiter.Limit(options.channelPerS(), options.channelPerS()), share);
         if (!channel.admitted()) {
-            history.refused(tenant.map(Charter.Tenant::name).orElse(""), path.service());
+            history.refused(tenant.map(Configuration.Tenant::name).orElse(""), path.service());
             refuse(exchange, put.channelKey, channel);
             return;
         }
         if (tenant.isPresent()) {
-            var verdict = limiter.hit(put.tenantKey, new Limiter.Limit(tenant.get().perS(), tenant.get().burst()), share);
+            var verdict = limiter.hit(put.tenantKey, new RateLimiter.Limit(tenant.get().perS(), tenant.get().burst()), share);
             if (!verdict.admitted()) {
                 limiter.giveBack(put.channelKey);
                 history.refused(tenant.get().name(), path.service());
@@ -351,39 +351,39 @@
             }
         }
         if (limiter.urgent()) {
-            waker.by(drainedUs + URGENT_US);
+            wakeUps.by(drainedUs + URGENT_US);
         }
         keep(exchange, put, path, tenant, name, delayUs, steps);
     }
 
-    private void refuse(Exchange exchange, String key, Limiter.Verdict verdict) {
+    private void refuse(Exchange exchange, String key, RateLimiter.Verdict verdict) {
         if (turn++ % 64 == 0) {
-            LOG.log(System.Logger.Level.INFO, "code=" + Codes.LIMIT_EXCEEDED.number() + " bucket=" + (key.startsWith("c:") ? "inbound" : "tenant") + " key=" + key.substring(2)
+            LOG.log(System.Logger.Level.INFO, "code=" + ResultCode.LIMIT_EXCEEDED.number() + " bucket=" + (key.startsWith("c:") ? "inbound" : "tenant") + " key=" + key.substring(2)
                 + " limit=" + verdict.limit() + " scaleMs=" + verdict.scaleUs() / 1000 + " retryAfterMs=" + verdict.retryAfterUs() / 1000);
         }
-        exchange.answer(Answer.later(Codes.OVER_QUOTA, Math.max(1, (verdict.retryAfterUs() + 999_999) / 1_000_000)));
+        exchange.answer(Answer.later(ResultCode.OVER_QUOTA, Math.max(1, (verdict.retryAfterUs() + 999_999) / 1_000_000)));
     }
 
-    private void keep(Exchange exchange, Put put, Charter.Path path, Optional<Charter.Tenant> tenant, String name, long delayUs, List<String> steps) {
+    private void keep(Exchange exchange, Put put, Configuration.Path path, Optional<Configuration.Tenant> tenant, String name, long delayUs, List<String> steps) {
         var nowUs = clock.steadyUs();
         var orderKey = exchange.header("Order-Key").orElse("");
-        var tenantName = tenant.map(Charter.Tenant::name).orElse("");
+        var tenantName = tenant.map(Configuration.Tenant::name).orElse("");
         put.exchange = exchange;
         put.holdUntilUs = nowUs + path.aimUs() / 5;
         put.giveUpUs = nowUs + Math.min(10_000_000, number(exchange, "Time-Left-Ms", 2000) * 1000);
-        put.frame = Frame.of("put").with("i", name).with("t", tenantName).with("h", Charter.plainHost(exchange.header("Host").orElse("")))
+        put.frame = Frame.of("put").with("i", name).with("t", tenantName).with("h", Configuration.plainHost(exchange.header("Host").orElse("")))
             .with("m", exchange.method()).with("p", exchange.target()).with("ct", exchange.header("Content-Type").orElse(""))
             .with("o", path.inOrder() ? orderKey : "").with("delay", delayUs).with("keep", path.keepUs()).with("b", exchange.body());
         if (!steps.isEmpty()) {
             put.frame.with("ra", List.<Object>copyOf(steps));
         }
-        var service = claim.charter().service(path.service());
+        var service = clusterLease.configuration().service(path.service());
         if (path.inOrder() && !orderKey.isEmpty()) {
-            put.fixedLine = Optional.of(spread(tenantName + "\n" + orderKey));
-        } else if (service.map(Charter.Service::paced).orElse(false)) {
-            put.fixedLine = Optional.of(spread(path.service()));
+            put.fixedPartition = Optional.of(spread(tenantName + "\n" + orderKey));
+        } else if (service.map(Configuration.Service::paced).orElse(false)) {
+            put.fixedPartition = Optional.of(spread(path.service()));
         } else {
-            put.fixedLine = Optional.empty();
+            put.fixedPartition = Optional.empty();
         }
         var rid = ++lastRid;
         puts.put(rid, put);
@@ -396,7 +396,7 @@
             hash = (hash ^ b) * 0x100000001b3L;
         }
         hash ^= hash >>> 32;
-        return (int) Math.floorMod(hash * 0x9e3779b97f4a7c15L >>> 20, (long) Layout.LINES);
+        return (int) Math.floorMod(hash * 0x9e3779b97f4a7c15L >>> 20, (long) ClusterView.PARTITIONS);
     }
 
     private void send(long rid, Put put) {
@@ -405,20 +405,20 @@
             giveUp(rid, put);
             return;
         }
-        var line = put.unsure ? claim.line(put.line) : put.fixedLine.isPresent() ? claim.line(put.fixedLine.get()) : chooseLine();
-        var ip = line.map(each -> claim.layout().ipOf(each.primary())).orElse("");
-        var usable = !ip.isEmpty() && (put.unsure || line.get().whole() && !down(ip));
+        var partition = put.unsure ? clusterLease.partition(put.partition) : put.fixedPartition.isPresent() ? clusterLease.partition(put.fixedPartition.get()) : choosePartition();
+        var ip = partition.map(each -> clusterLease.view().ipOf(each.primary())).orElse("");
+        var usable = !ip.isEmpty() && (put.unsure || partition.get().whole() && !down(ip));
         put.sentUs = nowUs;
-        waker.by(Math.min(put.giveUpUs, nowUs + (usable ? ASK_AGAIN_US : RETRY_US)));
+        wakeUps.by(Math.min(put.giveUpUs, nowUs + (usable ? ASK_AGAIN_US : RETRY_US)));
         if (!usable) {
             put.sentTo = "";
             holdOrGiveUp(rid, put);
             return;
         }
-        put.line = line.get().number();
+        put.partition = partition.get().number();
         put.sentTo = ip;
         put.tries++;
-        wire.send(ip, put.frame.with("rid", rid).with("l", put.line));
+        wire.send(ip, put.frame.with("rid", rid).with("l", put.partition));
     }
 
     private void holdOrGiveUp(long rid, Put put) {
@@ -444,17 +444,17 @@
         return clock.steadyUs() - downUs.getOrDefault(ip, Long.MIN_VALUE / 2) < 200_000;
     }
 
-    private Optional<Layout.Line> chooseLine() {
-        var near = new ArrayList<Layout.Line>();
-        var any = new ArrayList<Layout.Line>();
-        for (var line : claim.layout().lines()) {
-            var primary = claim.layout().member(line.primary());
-            if (!line.whole() || primary.isEmpty() || down(primary.get().ip())) {
+    private Optional<ClusterView.Partition> choosePartition() {
+        var near = new ArrayList<ClusterView.Partition>();
+        var any = new ArrayList<ClusterView.Partition>();
+        for (var partition : clusterLease.view().partitions()) {
+            var primary = clusterLease.view().member(partition.primary());
+            if (!partition.whole() || primary.isEmpty() || down(primary.get().ip())) {
                 continue;
             }
-            any.add(line);
+            any.add(partition);
             if (primary.get().zone().equals(options.zone())) {
-                near.add(line);
+                near.add(partition);
             }
         }
         var from = near.isEmpty() ? any : near;
@@ -464,15 +464,15 @@
     private void giveUp(long rid, Put put) {
         puts.remove(rid);
         if (put.unsure) {
-            put.exchange.answer(Answer.of(Codes.UNSURE));
+            put.exchange.answer(Answer.of(ResultCode.UNSURE));
             return;
         }
         limiter.giveBack(put.channelKey);
         if (!put.tenantKey.isEmpty()) {
             limiter.giveBack(put.tenantKey);
         }
-        claim.charter().path(put.frame.text("h"), put.frame.text("p")).ifPresent(path -> history.refused(put.frame.text("t"), path.service()));
-        put.exchange.answer(Answer.later(Codes.NOT_KEPT, 1));
+        clusterLease.configuration().path(put.frame.text("h"), put.frame.text("p")).ifPresent(path -> history.refused(put.frame.text("t"), path.service()));
+        put.exchange.answer(Answer.later(ResultCode.NOT_KEPT, 1));
     }
 
     private void onPutOk(Frame frame) {
@@ -483,14 +483,14 @@
         }
         if (frame.text("r").equals("kept")) {
             puts.remove(rid);
-            put.exchange.answer(Answer.of(Codes.KEPT, "Message-Name", name(put.line, put.frame.text("i"))));
+            put.exchange.answer(Answer.of(ResultCode.KEPT, "Message-Name", name(put.partition, put.frame.text("i"))));
             return;
         }
         retry(rid, put);
     }
 
-    private static String name(int line, String id) {
-        var name = line + "-" + id;
+    private static String name(int partition, String id) {
+        var name = partition + "-" + id;
         return name.length() <= 64 ? name : id;
     }
 
@@ -498,12 +498,12 @@
         put.sentTo = "";
         if (put.unsure) {
             put.sentUs = clock.steadyUs();
-            waker.within(RETRY_US);
-        } else if (put.fixedLine.isEmpty() && put.tries < 4) {
+            wakeUps.within(RETRY_US);
+        } else if (put.fixedPartition.isEmpty() && put.tries < 4) {
             send(rid, put);
         } else {
             put.sentUs = clock.steadyUs();
-            waker.within(RETRY_US);
+            wakeUps.within(RETRY_US);
             holdOrGiveUp(rid, put);
         }
     }
@@ -519,9 +519,9 @@
         }
     }
 
-    private Optional<Charter.Tenant> tenant(Exchange exchange) {
+    private Optional<Configuration.Tenant> tenant(Exchange exchange) {
         var words = exchange.header("Authorization").orElse("").trim().split(" +");
-        return words.length == 2 && words[0].equalsIgnoreCase("Bearer") ? claim.charter().tenant(words[1]) : Optional.empty();
+        return words.length == 2 && words[0].equalsIgnoreCase("Bearer") ? clusterLease.configuration().tenant(words[1]) : Optional.empty();
     }
 
     private static long number(Exchange exchange, String header, long otherwise) {
@@ -534,13 +534,13 @@
 
     private void look(Exchange exchange, String name, boolean body) {
         if (!fresh()) {
-            exchange.answer(Answer.later(Codes.NO_CLAIM, 1));
+            exchange.answer(Answer.later(ResultCode.NO_CLAIM, 1));
             return;
         }
         var tenant = tenant(exchange);
-        var host = Charter.plainHost(exchange.header("Host").orElse(""));
+        var host = Configuration.plainHost(exchange.header("Host").orElse(""));
         if (tenant.isEmpty()) {
-            exchange.answer(Answer.of(Codes.NO_KEY));
+            exchange.answer(Answer.of(ResultCode.NO_KEY));
             return;
         }
         var look = new Look();
@@ -552,27 +552,27 @@
 
     private void startLook(Look look, String name, String tenant, String host) {
         var dash = name.indexOf('-');
-        look.line = dash > 0 && dash < 3 && name.substring(0, dash).matches("[0-9]+") ? Integer.parseInt(name.substring(0, dash)) : -1;
-        look.wide = look.line < 0 || look.line >= Layout.LINES;
+        look.partition = dash > 0 && dash < 3 && name.substring(0, dash).matches("[0-9]+") ? Integer.parseInt(name.substring(0, dash)) : -1;
+        look.wide = look.partition < 0 || look.partition >= ClusterView.PARTITIONS;
         look.frame = Frame.of("look").with("tenant", tenant).with("host", host).with("any", look.step.isPresent()).with("body", look.body).with("id", look.wide ? name : name.substring(dash + 1)).with("whole", name);
         var rid = ++lastRid;
         looks.put(rid, look);
-        waker.within(RETRY_US);
+        wakeUps.within(RETRY_US);
         ask(rid, look);
     }
 
     private void ask(long rid, Look look) {
         if (!look.wide) {
-            var ip = claim.line(look.line).map(line -> claim.layout().ipOf(line.primary())).orElse("");
+            var ip = clusterLease.partition(look.partition).map(partition -> clusterLease.view().ipOf(partition.primary())).orElse("");
             if (!ip.isEmpty()) {
-                wire.send(ip, look.frame.with("rid", rid).with("line", look.line));
+                wire.send(ip, look.frame.with("rid", rid).with("line", look.partition));
             }
             return;
         }
-        for (var keeper : claim.layout().members("keeper")) {
-            if (!look.sure.contains(keeper.ip())) {
-                look.asked.add(keeper.ip());
-                wire.send(keeper.ip(), look.frame.with("rid", rid).with("line", -1).with("id", look.frame.text("whole")));
+        for (var storage : clusterLease.view().members("storage")) {
+            if (!look.sure.contains(storage.ip())) {
+                look.asked.add(storage.ip());
+                wire.send(storage.ip(), look.frame.with("rid", rid).with("line", -1).with("id", look.frame.text("whole")));
             }
         }
     }
@@ -603,7 +603,7 @@
                 if (look.step.isPresent()) {
                     look.step.get().accept("");
                 } else {
-                    look.exchange.answer(Answer.of(Codes.NO_MESSAGE));
+                    look.exchange.answer(Answer.of(ResultCode.NO_MESSAGE));
                 }
             }
         }
@@ -618,15 +618,15 @@
         var state = frame.small("state");
         if (look.body) {
             if (state == 1) {
-                look.exchange.answer(Answer.of(Codes.NO_MESSAGE));
+                look.exchange.answer(Answer.of(ResultCode.NO_MESSAGE));
                 return;
             }
             var type = frame.text("type").isEmpty() ? "application/octet-stream" : frame.text("type");
-            look.exchange.answer(Answer.of(Codes.FINE).with(type, frame.bytes("body")));
+            look.exchange.answer(Answer.of(ResultCode.FINE).with(type, frame.bytes("body")));
             return;
         }
         var text = state == 1 ? "{\"State\":\"finished\",\"Seal\":\"" + frame.text("seal").replaceAll("[\"\\\\]", "") + "\"}" : state == 2 ? "{\"State\":\"failed\"}" : "{\"State\":\"waiting\"}";
-        look.exchange.answer(Answer.of(Codes.FINE).with("application/json", text.getBytes(StandardCharsets.UTF_8)));
+        look.exchange.answer(Answer.of(ResultCode.FINE).with("application/json", text.getBytes(StandardCharsets.UTF_8)));
     }
 
     private void tickLooks(long nowUs) {
@@ -642,7 +642,7 @@
                 tell(entry.getKey(), look, look.best.get());
             } else {
                 looks.remove(entry.getKey());
-                look.exchange.answer(Answer.later(Codes.NOT_KEPT, 1));
+                look.exchange.answer(Answer.later(ResultCode.NOT_KEPT, 1));
             }
         }
     }
@@ -650,23 +650,23 @@
     private void end(Exchange exchange, String name, String kind) {
         var lease = exchange.header("Lease").orElse("");
         if (!lease.matches("[0-9]{1,3}\\.[0-9]{1,12}\\.[0-9]{1,12}")) {
-            exchange.answer(Answer.of(Codes.LEASE_GONE));
+            exchange.answer(Answer.of(ResultCode.LEASE_GONE));
             return;
         }
         var result = number(exchange, "Job-Result", kind.equals("end") ? -1 : 0);
         if (result < 0) {
-            exchange.answer(Answer.of(Codes.BAD_REQUEST));
+            exchange.answer(Answer.of(ResultCode.BAD_REQUEST));
             return;
         }
         if (ends.size() >= OPEN_MOST) {
-            exchange.answer(Answer.later(Codes.NOT_KEPT, 1));
+            exchange.answer(Answer.later(ResultCode.NOT_KEPT, 1));
             return;
         }
         var end = new End();
         end.exchange = exchange;
-        end.line = Integer.parseInt(lease.substring(0, lease.indexOf('.')));
+        end.partition = Integer.parseInt(lease.substring(0, lease.indexOf('.')));
         end.untilUs = clock.steadyUs() + END_US;
-        end.frame = Frame.of(kind).with("line", end.line).with("id", name).with("lease", lease).with("result", result).with("seal", exchange.header("Server-Seal").orElse(""));
+        end.frame = Frame.of(kind).with("line", end.partition).with("id", name).with("lease", lease).with("result", result).with("seal", exchange.header("Server-Seal").orElse(""));
         var rid = ++lastRid;
         ends.put(rid, end);
         sendEnd(rid, end);
@@ -674,8 +674,8 @@
 
     private void sendEnd(long rid, End end) {
         end.sentUs = clock.steadyUs();
-        waker.within(ASK_AGAIN_US);
-        var ip = claim.line(end.line).map(line -> claim.layout().ipOf(line.primary())).orElse("");
+        wakeUps.within(ASK_AGAIN_US);
+        var ip = clusterLease.partition(end.partition).map(partition -> clusterLease.view().ipOf(partition.primary())).orElse("");
         if (!ip.isEmpty()) {
             wire.send(ip, end.frame.with("rid", rid));
         }
@@ -688,7 +688,7 @@
             return;
         }
         ends.remove(rid);
-        end.exchange.answer(Answer.of(frame.small("r") == 200 ? Codes.FINE : Codes.LEASE_GONE));
+        end.exchange.answer(Answer.of(frame.small("r") == 200 ? ResultCode.FINE : ResultCode.LEASE_GONE));
     }
 
     private void tickEnds(long nowUs) {
@@ -696,7 +696,7 @@
             var end = entry.getValue();
             if (nowUs >= end.untilUs) {
                 ends.remove(entry.getKey());
-                end.exchange.answer(Answer.later(Codes.NOT_KEPT, 1));
+                end.exchange.answer(Answer.later(ResultCode.NOT_KEPT, 1));
             } else if (nowUs - end.sentUs > ASK_AGAIN_US) {
                 sendEnd(entry.getKey(), end);
             }
@@ -704,18 +704,18 @@
     }
 
     private void pull(Exchange exchange, String service) {
-        var known = claim.charter().service(service).map(Charter.Service::pull).orElse(false);
+        var known = clusterLease.configuration().service(service).map(Configuration.Service::pull).orElse(false);
         if (!known) {
-            exchange.answer(claim.charter().revision() == 0 ? Answer.later(Codes.NO_CLAIM, 1) : Answer.of(Codes.NO_PATH));
+            exchange.answer(clusterLease.configuration().revision() == 0 ? Answer.later(ResultCode.NO_CLAIM, 1) : Answer.of(ResultCode.NO_PATH));
             return;
         }
         var waitMs = number(exchange, "Wait-Ms", 1000);
         if (waitMs < 0) {
-            exchange.answer(Answer.of(Codes.BAD_REQUEST));
+            exchange.answer(Answer.of(ResultCode.BAD_REQUEST));
             return;
         }
         if (closing || pulls.size() >= OPEN_MOST) {
-            exchange.answer(Answer.of(Codes.NOTHING).closing());
+            exchange.answer(Answer.of(ResultCode.NOTHING).closing());
             return;
         }
         var pull = new Pull(++lastRid, exchange, service, options.watch() ? exchange.header("Server-Id").filter(text -> text.length() <= 64).orElse("") : "", clock.steadyUs() + Math.min(30_000, waitMs) * 1000);
@@ -724,28 +724,28 @@
         clock.after(Math.max(1000, pull.untilUs - clock.steadyUs()), () -> {
             synchronized (this) {
                 if (pulls.remove(pull.token) != null) {
-                    pull.exchange.answer(Answer.of(Codes.NOTHING));
+                    pull.exchange.answer(Answer.of(ResultCode.NOTHING));
                 }
             }
         });
-        var keepers = claim.layout().members("keeper");
-        if (!keepers.isEmpty()) {
-            assign(pull, nextKeeper(service, keepers));
+        var storageNodes = clusterLease.view().members("storage");
+        if (!storageNodes.isEmpty()) {
+            assign(pull, nextStorage(service, storageNodes));
         }
     }
 
-    private String nextKeeper(String service, List<Layout.Member> keepers) {
-        var near = keepers.stream().filter(keeper -> keeper.zone().equals(options.zone())).toList();
-        return lightest(service, near.isEmpty() ? keepers : near);
+    private String nextStorage(String service, List<ClusterView.Member> storageNodes) {
+        var near = storageNodes.stream().filter(storage -> storage.zone().equals(options.zone())).toList();
+        return lightest(service, near.isEmpty() ? storageNodes : near);
     }
 
-    private String lightest(String service, List<Layout.Member> keepers) {
+    private String lightest(String service, List<ClusterView.Member> storageNodes) {
         var counts = new HashMap<String, Integer>();
-        pulls.values().stream().filter(pull -> pull.service.equals(service)).forEach(pull -> counts.merge(pull.keeperIp, 1, Integer::sum));
-        var start = (int) (turn++ % keepers.size());
-        var best = keepers.get(start);
-        for (var step = 1; step < keepers.size(); step++) {
-            var other = keepers.get((start + step) % keepers.size());
+        pulls.values().stream().filter(pull -> pull.service.equals(service)).forEach(pull -> counts.merge(pull.storageIp, 1, Integer::sum));
+        var start = (int) (turn++ % storageNodes.size());
+        var best = storageNodes.get(start);
+        for (var step = 1; step < storageNodes.size(); step++) {
+            var other = storageNodes.get((start + step) % storageNodes.size());
             if (counts.getOrDefault(other.ip(), 0) < counts.getOrDefault(best.ip(), 0)) {
                 best = other;
             }
@@ -753,9 +753,9 @@
         return best.ip();
     }
 
-    private void assign(Pull pull, String keeperIp) {
-        pull.keeperIp = keeperIp;
-        wire.send(keeperIp, Frame.of("demand").with("service", pull.service).with("zone", options.zone()).with("tokens", List.of(tokenFrame(pull))));
+    private void assign(Pull pull, String storageIp) {
+        pull.storageIp = storageIp;
+        wire.send(storageIp, Frame.of("demand").with("service", pull.service).with("zone", options.zone()).with("tokens", List.of(tokenFrame(pull))));
     }
 
     private Frame tokenFrame(Pull pull) {
@@ -763,17 +763,17 @@
     }
 
     private synchronized void dropPull(Pull pull) {
-        if (pulls.remove(pull.token) != null && !pull.keeperIp.isEmpty()) {
-            wire.send(pull.keeperIp, Frame.of("withdraw").with("service", pull.service).with("tokens", List.of(tokenFrame(pull))));
+        if (pulls.remove(pull.token) != null && !pull.storageIp.isEmpty()) {
+            wire.send(pull.storageIp, Frame.of("withdraw").with("service", pull.service).with("tokens", List.of(tokenFrame(pull))));
         }
     }
 
     private void onHungry(String from, Frame frame) {
-        var others = pulls.values().stream().filter(pull -> pull.service.equals(frame.text("service")) && !pull.keeperIp.equals(from) && pull.untilUs - clock.steadyUs() > 60_000).toList();
+        var others = pulls.values().stream().filter(pull -> pull.service.equals(frame.text("service")) && !pull.storageIp.equals(from) && pull.untilUs - clock.steadyUs() > 60_000).toList();
         var most = Math.min(Math.max(1, frame.small("n")), (others.size() + 1) / 2);
         for (var pull : others.subList(0, Math.min(most, others.size()))) {
-            if (!pull.keeperIp.isEmpty()) {
-                wire.send(pull.keeperIp, Frame.of("withdraw").with("service", pull.service).with("tokens", List.of(tokenFrame(pull))));
+            if (!pull.storageIp.isEmpty()) {
+                wire.send(pull.storageIp, Frame.of("withdraw").with("service", pull.service).with("tokens", List.of(tokenFrame(pull))));
             }
             assign(pull, from);
         }
@@ -786,14 +786,14 @@
             return;
         }
         pulls.remove(pull.token);
-        if (!pull.keeperIp.equals(from) && !pull.keeperIp.isEmpty()) {
-            wire.send(pull.keeperIp, Frame.of("withdraw").with("service", pull.service).with("tokens", List.of(tokenFrame(pull))));
+        if (!pull.storageIp.equals(from) && !pull.storageIp.isEmpty()) {
+            wire.send(pull.storageIp, Frame.of("withdraw").with("service", pull.service).with("tokens", List.of(tokenFrame(pull))));
         }
         var headers = new ArrayList<>(List.of("Attempt-Id", frame.text("id"), "Job-Method", frame.text("method"), "Job-Path", frame.text("target"), "Lease", frame.text("lease")));
         addIfPresent(headers, "Customer", frame.text("tenant"));
         addIfPresent(headers, "Order-Key", frame.text("okey"));
         var type = frame.text("type").isEmpty() ? "application/octet-stream" : frame.text("type");
-        pull.exchange.answer(new Answer(Codes.FINE, headers, type, frame.bytes("body"), false));
+        pull.exchange.answer(new Answer(ResultCode.FINE, headers, type, frame.bytes("body"), false));
     }
 
     private static void addIfPresent(List<String> headers, String name, String value) {
@@ -804,12 +804,12 @@
     }
 
     private void tickPulls(long nowUs) {
-        var keepers = claim.layout().members("keeper");
-        if (keepers.isEmpty()) {
+        var storageNodes = clusterLease.view().members("storage");
+        if (storageNodes.isEmpty()) {
             return;
         }
-        var ips = keepers.stream().map(Layout.Member::ip).toList();
-        pulls.values().stream().filter(pull -> !ips.contains(pull.keeperIp)).toList().forEach(pull -> assign(pull, nextKeeper(pull.service, keepers)));
+        var ips = storageNodes.stream().map(ClusterView.Member::ip).toList();
+        pulls.values().stream().filter(pull -> !ips.contains(pull.storageIp)).toList().forEach(pull -> assign(pull, nextStorage(pull.service, storageNodes)));
     }
 
     private synchronized void onNews() {
@@ -823,7 +823,7 @@
     @Override
     public synchronized void onFrame(String from, Frame frame) {
         switch (frame.kind()) {
-            case "claim.ok", "claim.no", "news" -> claim.onFrame(from, frame);
+            case "claim.ok", "claim.no", "news" -> clusterLease.onFrame(from, frame);
             case "put.ok" -> onPutOk(frame);
             case "look.ok" -> onLookOk(from, frame);
             case "end.ok" -> onEndOk(frame);
@@ -834,12 +834,12 @@
             case "hits.up" -> {
                 relays.takeUp(frame);
                 onHits(from, frame.inner("h"));
-                waker.by(relays.dueUs(options.ip()));
+                wakeUps.by(relays.dueUs(options.ip()));
             }
             case "hits.over" -> {
                 relays.takeOver(frame);
                 onManyHits(frame);
-                waker.by(relays.dueUs(options.ip()));
+                wakeUps.by(relays.dueUs(options.ip()));
             }
             case "hits.down" -> {
                 relays.takeDown(from, frame);
@@ -872,23 +872,23 @@
             var nowUs = clock.steadyUs();
             if (nowUs - askedHitsUs.getOrDefault(frame.text("s"), Long.MIN_VALUE / 2) > ASK_HITS_US) {
                 askedHitsUs.put(frame.text("s"), nowUs);
-                var origin = claim.layout().ipOf(frame.text("s"));
+                var origin = clusterLease.view().ipOf(frame.text("s"));
                 wire.send(origin.isEmpty() ? from : origin, Frame.of("hits.ask"));
             }
         }
     }
 
     private void onManyHits(Frame many) {
-        many.frames("hs").stream().filter(hits -> !hits.text("s").equals(id)).forEach(hits -> onHits(claim.layout().ipOf(hits.text("s")), hits));
+        many.frames("hs").stream().filter(hits -> !hits.text("s").equals(id)).forEach(hits -> onHits(clusterLease.view().ipOf(hits.text("s")), hits));
     }
 
     @Override
     public synchronized void onDown(String ip) {
-        claim.onDown(ip);
+        clusterLease.onDown(ip);
         relays.shun(ip);
         downUs.put(ip, clock.steadyUs());
-        pulls.values().stream().filter(pull -> pull.keeperIp.equals(ip)).forEach(pull -> pull.keeperIp = "");
-        waker.within(RETRY_US);
+        pulls.values().stream().filter(pull -> pull.storageIp.equals(ip)).forEach(pull -> pull.storageIp = "");
+        wakeUps.within(RETRY_US);
         for (var entry : List.copyOf(puts.entrySet())) {
             var put = entry.getValue();
             if (put.sentTo.equals(ip)) {
@@ -910,7 +910,7 @@
 
     public synchronized void leave() {
         leaving = true;
-        claim.renew();
+        clusterLease.renew();
         flushHits();
     }
 
@@ -918,7 +918,7 @@
         closing = true;
         List.copyOf(pulls.values()).forEach(pull -> {
             dropPull(pull);
-            pull.exchange.answer(Answer.of(Codes.NOTHING).closing());
+            pull.exchange.answer(Answer.of(ResultCode.NOTHING).closing());
         });
     }
 
--- a/src/main/java/wellwheel/gallery/Departure.java
+++ b/src/main/java/wellwheel/edge/GracefulShutdown.java
@@ -1,6 +1,6 @@
-package wellwheel.gallery;
+package wellwheel.edge;
 
-final class Departure {
+final class GracefulShutdown {
     enum Step { STAY, FLUSH, END }
 
     private boolean flushed;
--- a/src/main/java/wellwheel/gallery/Relays.java
+++ b/src/main/java/wellwheel/edge/HitRelays.java
@@ -1,5 +1,9 @@
-package wellwheel.gallery;
+package wellwheel.edge;
 
+import wellwheel.cluster.ClusterView;
+import wellwheel.runtime.Clock;
+import wellwheel.transport.Frame;
+import wellwheel.transport.Network;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -9,12 +13,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import wellwheel.lantern.Clock;
-import wellwheel.lantern.Frame;
-import wellwheel.lantern.Layout;
-import wellwheel.lantern.Wire;
 
-final class Relays {
+final class HitRelays {
     static final int FEW = 16;
     private static final long CALM_US = 75_000;
     private static final long URGENT_US = 20_000;
@@ -28,7 +28,7 @@
     private record Presence(long alive, long sinceUs) { }
 
     private final Clock clock;
-    private final Wire wire;
+    private final Network wire;
     private final String zone;
     private final Map<String, Long> shunnedUs = new HashMap<>();
     private final Map<String, Long> members = new HashMap<>();
@@ -44,13 +44,13 @@
     private boolean urgentDown;
     private boolean urgentOver;
 
-    Relays(Clock clock, Wire wire, String zone) {
+    HitRelays(Clock clock, Network wire, String zone) {
         this.clock = clock;
         this.wire = wire;
         this.zone = zone;
     }
 
-    static boolean few(List<Layout.Member> peers) {
+    static boolean few(List<ClusterView.Member> peers) {
         return peers.size() < FEW;
     }
 
@@ -58,7 +58,7 @@
         selfName = name;
     }
 
-    void send(Frame hits, boolean now, List<Layout.Member> peers, String self) {
+    void send(Frame hits, boolean now, List<ClusterView.Member> peers, String self) {
         var chosen = choose(zone, peers, self);
         if (!chosen.equals(relay)) {
             relay = chosen;
@@ -74,7 +74,7 @@
         }
     }
 
-    private String choose(String where, List<Layout.Member> peers, String self) {
+    private String choose(String where, List<ClusterView.Member> peers, String self) {
         var nowUs = clock.steadyUs();
         var candidates = new TreeMap<String, String>();
         peers.stream().filter(peer -> peer.zone().equals(where)).forEach(peer -> candidates.put(peer.id().replaceAll("#.*", ""), peer.ip()));
@@ -131,7 +131,7 @@
         }
     }
 
-    long heard(List<Layout.Member> peers) {
+    long heard(List<ClusterView.Member> peers) {
         var nowUs = clock.steadyUs();
         var sizes = new HashMap<String, Long>();
         peers.forEach(peer -> sizes.merge(peer.zone(), 1L, Long::sum));
@@ -155,7 +155,7 @@
         return members.isEmpty() && inward.isEmpty() ? silentUs : Math.min(silentUs, Math.min(downUs(), overUs()));
     }
 
-    void tick(List<Layout.Member> peers, String self) {
+    void tick(List<ClusterView.Member> peers, String self) {
         var nowUs = clock.steadyUs();
         if (!relay.isEmpty() && !relay.equals(self) && nowUs - relayHeardUs > SILENT_US) {
             shun(relay);
@@ -174,7 +174,7 @@
         }
     }
 
-    private void passDown(long nowUs, List<Layout.Member> peers) {
+    private void passDown(long nowUs, List<ClusterView.Member> peers) {
         downAtUs = nowUs;
         var zones = presence.entrySet().stream().<Object>map(each -> new Frame().with("z", each.getKey()).with("m", each.getValue().alive()).with("o", nowUs - each.getValue().sinceUs())).toList();
         var down = Frame.of("hits.down").with("hs", List.<Object>copyOf(inward)).with("zs", zones);
@@ -183,7 +183,7 @@
         urgentDown = false;
     }
 
-    private void passOver(long nowUs, List<Layout.Member> peers, String self) {
+    private void passOver(long nowUs, List<ClusterView.Member> peers, String self) {
         overAtUs = nowUs;
         var over = Frame.of("hits.over").with("hs", List.<Object>copyOf(outward)).with("u", urgentOver).with("z", zone).with("m", members.size());
         targets(peers, self).forEach(ip -> wire.send(ip, over));
@@ -191,7 +191,7 @@
         urgentOver = false;
     }
 
-    private Set<String> targets(List<Layout.Member> peers, String self) {
+    private Set<String> targets(List<ClusterView.Member> peers, String self) {
         var zones = new TreeSet<String>();
         peers.forEach(peer -> zones.add(peer.zone()));
         zones.remove(zone);
--- a/src/main/java/wellwheel/gallery/Limiter.java
+++ b/src/main/java/wellwheel/edge/RateLimiter.java
@@ -1,5 +1,6 @@
-package wellwheel.gallery;
+package wellwheel.edge;
 
+import wellwheel.transport.Frame;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -7,9 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
-import wellwheel.lantern.Frame;
 
-public final class Limiter {
+public final class RateLimiter {
     static final long SCALE_US = 200_000;
     private static final int KEYS_MOST = 4096;
     private static final int SENDERS_MOST = 4096;
@@ -95,7 +95,7 @@
     private long batch;
     private boolean urgent;
 
-    public Limiter(String self, long windowUs, LongSupplier coreUs) {
+    public RateLimiter(String self, long windowUs, LongSupplier coreUs) {
         this.self = self;
         this.windowUs = windowUs;
         this.coreUs = coreUs;
--- a/src/main/java/wellwheel/forecast/Season.java
+++ b/src/main/java/wellwheel/forecast/Season.java
@@ -22,7 +22,7 @@
         }
     }
 
-    public record Point(long offered, long refused, long started, long late, long legs, long slotUs) { }
+    public record Point(long offered, long refused, long started, long late, long attempts, long slotUs) { }
 
     public static final class Invalid extends Exception {
         Invalid(String why) {
@@ -135,15 +135,15 @@
     }
 
     public double legUs(String service, long untilStep) {
-        var legs = 0L;
+        var attempts = 0L;
         var slotUs = 0L;
         for (var team : teamsOf(service)) {
             for (var point : points.get(team).headMap(untilStep, true).values()) {
-                legs += point.legs();
+                attempts += point.attempts();
                 slotUs += point.slotUs();
             }
         }
-        return legs == 0 ? 0 : (double) slotUs / legs;
+        return attempts == 0 ? 0 : (double) slotUs / attempts;
     }
 
     public Map<Team, double[]> work(long untilStep) {
--- a/src/main/java/wellwheel/lantern/HistoryFile.java
+++ b/src/main/java/wellwheel/history/HistoryFile.java
@@ -1,5 +1,8 @@
-package wellwheel.lantern;
+package wellwheel.history;
 
+import wellwheel.storage.Disk;
+import wellwheel.storage.JournalReader;
+import wellwheel.transport.Frame;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
