--- a/src/main/java/wellwheel/lantern/HistoryRow.java
+++ b/src/main/java/wellwheel/history/HistoryRow.java
@@ -1,21 +1,22 @@
-package wellwheel.lantern;
+package wellwheel.history;
 
+import wellwheel.transport.Frame;
 import java.util.ArrayList;
 import java.util.List;
 
 public record HistoryRow(String node, String life, long startUs, long spanUs, String tenant, String service, Counts counts) {
     public static final int WAITS = 24;
 
-    public record Counts(long offered, long refused, long started, long late, long legs, long slotUs, long finished, long failed, long waiting, long slots, long coveredUs, List<Long> waits) {
+    public record Counts(long offered, long refused, long started, long late, long attempts, long slotUs, long finished, long failed, long waiting, long slots, long coveredUs, List<Long> waits) {
         public static final Counts NONE = new Counts(0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, List.of());
 
         public Counts plus(Counts other) {
-            return new Counts(offered + other.offered, refused + other.refused, started + other.started, late + other.late, legs + other.legs, slotUs + other.slotUs, finished + other.finished,
+            return new Counts(offered + other.offered, refused + other.refused, started + other.started, late + other.late, attempts + other.attempts, slotUs + other.slotUs, finished + other.finished,
                 failed + other.failed, waiting + other.waiting, slots + other.slots, coveredUs + other.coveredUs, sums(waits, other.waits));
         }
 
         public Counts most(Counts other) {
-            return new Counts(Math.max(offered, other.offered), Math.max(refused, other.refused), Math.max(started, other.started), Math.max(late, other.late), Math.max(legs, other.legs), Math.max(slotUs, other.slotUs),
+            return new Counts(Math.max(offered, other.offered), Math.max(refused, other.refused), Math.max(started, other.started), Math.max(late, other.late), Math.max(attempts, other.attempts), Math.max(slotUs, other.slotUs),
                 Math.max(finished, other.finished), Math.max(failed, other.failed), Math.max(waiting, other.waiting), Math.max(slots, other.slots), Math.max(coveredUs, other.coveredUs), highest(waits, other.waits));
         }
 
@@ -49,7 +50,7 @@
     }
 
     public Frame frame() {
-        return new Frame().with("n", node).with("i", life).with("s", startUs).with("p", spanUs).with("t", tenant).with("v", service).with("c", List.<Object>of(counts.offered, counts.refused, counts.started, counts.late, counts.legs,
+        return new Frame().with("n", node).with("i", life).with("s", startUs).with("p", spanUs).with("t", tenant).with("v", service).with("c", List.<Object>of(counts.offered, counts.refused, counts.started, counts.late, counts.attempts,
             counts.slotUs, counts.finished, counts.failed, counts.waiting, counts.slots, counts.coveredUs)).with("w", List.<Object>copyOf(counts.waits));
     }
 
--- a/src/main/java/wellwheel/lantern/QueueHistory.java
+++ b/src/main/java/wellwheel/history/QueueHistory.java
@@ -1,5 +1,9 @@
-package wellwheel.lantern;
+package wellwheel.history;
 
+import wellwheel.config.NodeOptions;
+import wellwheel.runtime.ResultCode;
+import wellwheel.storage.Disk;
+import wellwheel.transport.Frame;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -30,7 +34,7 @@
         long refused;
         long started;
         long late;
-        long legs;
+        long attempts;
         long slotUs;
         long finished;
         long failed;
@@ -48,7 +52,7 @@
             for (var at = 0; at < used; at++) {
                 list.add(waits[at]);
             }
-            return new HistoryRow.Counts(offered, refused, started, late, legs, slotUs, finished, failed, waiting, slots, coveredUs, List.copyOf(list));
+            return new HistoryRow.Counts(offered, refused, started, late, attempts, slotUs, finished, failed, waiting, slots, coveredUs, List.copyOf(list));
         }
     }
 
@@ -67,7 +71,7 @@
     private boolean rewriting;
     private int damaged;
 
-    public QueueHistory(Options options, String life, Optional<Disk> disk, LongSupplier coreUs) {
+    public QueueHistory(NodeOptions options, String life, Optional<Disk> disk, LongSupplier coreUs) {
         this.node = options.node();
         this.life = life;
         this.enabled = options.history().enabled();
@@ -92,7 +96,7 @@
             throw new Unreadable("the queue history on disk is of version " + versions.get(0) + ", this program reads " + VERSION + "; move " + FILE + " away");
         }
         if (damaged > 0) {
-            LOG.log(System.Logger.Level.WARNING, "code=" + Codes.HISTORY_DAMAGED.number() + " damaged records of queue history skipped: " + damaged);
+            LOG.log(System.Logger.Level.WARNING, "code=" + ResultCode.HISTORY_DAMAGED.number() + " damaged records of queue history skipped: " + damaged);
         }
     }
 
@@ -139,7 +143,7 @@
             return;
         }
         var cell = cell(coreUs.getAsLong(), tenant, service);
-        cell.legs++;
+        cell.attempts++;
         if (first) {
             cell.started++;
             cell.late += waitUs > aimUs ? 1 : 0;
@@ -238,7 +242,7 @@
                     merge(found, row);
                 }
             } catch (IllegalArgumentException e) {
-                LOG.log(System.Logger.Level.WARNING, "code=" + Codes.HISTORY_DAMAGED.number() + " " + e.getMessage());
+                LOG.log(System.Logger.Level.WARNING, "code=" + ResultCode.HISTORY_DAMAGED.number() + " " + e.getMessage());
             }
         }
     }
--- a/src/main/java/wellwheel/keeper/Desk.java
+++ b/src/main/java/wellwheel/queue/Dispatcher.java
@@ -1,5 +1,7 @@
-package wellwheel.keeper;
+package wellwheel.queue;
 
+import wellwheel.cluster.ClusterView;
+import wellwheel.transport.Frame;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -10,15 +12,13 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
-import wellwheel.lantern.Frame;
-import wellwheel.lantern.Layout;
 
-final class Desk {
+final class Dispatcher {
     private static final int LATE_TURN = 4;
     private static final int SHARES_MOST = 1024;
     private static final int LATE_LOOKED_AT = 64;
 
-    record Demand(String galleryIp, long token, long expiresUs, boolean near, String worker, String version) { }
+    record Demand(String edgeIp, long token, long expiresUs, boolean near, String worker, String version) { }
 
     private static final class Share {
         double arrivals;
@@ -26,9 +26,9 @@
         long youngestWaitUs;
     }
 
-    static final class Berth {
+    static final class Target {
         final String address;
-        Layout.Processor processor;
+        ClusterView.Processor processor;
         int running;
         double most;
         int load;
@@ -37,7 +37,7 @@
         long restUs;
         boolean listed = true;
 
-        Berth(String address, Layout.Processor processor, double most) {
+        Target(String address, ClusterView.Processor processor, double most) {
             this.address = address;
             this.processor = processor;
             this.most = most;
@@ -62,7 +62,7 @@
 
     final String service;
     final ArrayDeque<Demand> demands = new ArrayDeque<>();
-    final Map<String, Berth> berths = new LinkedHashMap<>();
+    final Map<String, Target> targets = new LinkedHashMap<>();
     private final TreeMap<Integer, LinkedHashMap<String, ArrayDeque<Message>>> fresh = new TreeMap<>();
     private final ArrayDeque<Message> late = new ArrayDeque<>();
     private int turn;
@@ -77,7 +77,7 @@
     long tokensAtUs;
     boolean asked;
 
-    Desk(String service) {
+    Dispatcher(String service) {
         this.service = service;
     }
 
@@ -133,7 +133,7 @@
                 row.with("f", Math.max(1, nowUs - share.youngestUs)).with("w", share.youngestWaitUs);
             }
             if (!queue.isEmpty()) {
-                row.with("o", nowUs - queue.peekFirst().offeredUs).with("m", queue.peekFirst().aimUs).with("l", queue.peekFirst().line + 1);
+                row.with("o", nowUs - queue.peekFirst().offeredUs).with("m", queue.peekFirst().aimUs).with("l", queue.peekFirst().partition + 1);
             }
             if (share.arrivals > 0.05 || !queue.isEmpty()) {
                 rows.add(row);
@@ -209,16 +209,16 @@
         return true;
     }
 
-    Map<String, Berth> berthsOf(Collection<Layout.Processor> processors, double share) {
-        var seen = new HashMap<String, Layout.Processor>();
+    Map<String, Target> targetsOf(Collection<ClusterView.Processor> processors, double share) {
+        var seen = new HashMap<String, ClusterView.Processor>();
         processors.stream().filter(p -> p.service().equals(service) && !p.draining()).forEach(p -> seen.put(p.address(), p));
-        berths.values().forEach(berth -> berth.listed = seen.containsKey(berth.address) && seen.get(berth.address).id().equals(berth.processor.id()));
-        berths.values().removeIf(berth -> !berth.listed);
-        seen.forEach((address, processor) -> berths.computeIfAbsent(address, a -> {
-            var berth = new Berth(address, processor, Math.ceil(processor.capacity() * share) + 1);
-            berth.slots = processor.capacity();
-            return berth;
+        targets.values().forEach(target -> target.listed = seen.containsKey(target.address) && seen.get(target.address).id().equals(target.processor.id()));
+        targets.values().removeIf(target -> !target.listed);
+        seen.forEach((address, processor) -> targets.computeIfAbsent(address, a -> {
+            var target = new Target(address, processor, Math.ceil(processor.capacity() * share) + 1);
+            target.slots = processor.capacity();
+            return target;
         }));
-        return berths;
+        return targets;
     }
 }
--- a/src/main/java/wellwheel/keeper/HttpCourier.java
+++ b/src/main/java/wellwheel/queue/HttpDeliveryClient.java
@@ -1,27 +1,27 @@
-package wellwheel.keeper;
+package wellwheel.queue;
 
+import wellwheel.transport.PooledHttpClient;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import wellwheel.lantern.Caller;
 
-final class HttpCourier implements Courier {
+final class HttpDeliveryClient implements DeliveryClient {
     private static final long SLACK_US = 60_000;
-    private final Caller caller;
+    private final PooledHttpClient caller;
 
-    HttpCourier(Caller caller) {
+    HttpDeliveryClient(PooledHttpClient caller) {
         this.caller = caller;
     }
 
     @Override
-    public void deliver(Leg leg, Consumer<Outcome> done) {
-        var headers = new ArrayList<>(List.of("Attempt-Id", leg.id(), "Time-Left-Ms", Long.toString(leg.giveUpUs() / 1000)));
-        add(headers, "Host", leg.host());
-        add(headers, "Customer", leg.tenant());
-        add(headers, "Order-Key", leg.orderKey());
-        add(headers, "Target-Server", leg.processorId());
-        add(headers, "Content-Type", leg.contentType());
-        var call = new Caller.Call(leg.address(), leg.method(), leg.target(), headers, leg.body(), leg.giveUpUs() + SLACK_US, leg.mostConnections(), leg.id());
+    public void deliver(Attempt attempt, Consumer<Outcome> done) {
+        var headers = new ArrayList<>(List.of("Attempt-Id", attempt.id(), "Time-Left-Ms", Long.toString(attempt.giveUpUs() / 1000)));
+        add(headers, "Host", attempt.host());
+        add(headers, "Customer", attempt.tenant());
+        add(headers, "Order-Key", attempt.orderKey());
+        add(headers, "Target-Server", attempt.processorId());
+        add(headers, "Content-Type", attempt.contentType());
+        var call = new PooledHttpClient.Call(attempt.address(), attempt.method(), attempt.target(), headers, attempt.body(), attempt.giveUpUs() + SLACK_US, attempt.mostConnections(), attempt.id());
         caller.call(call, answer -> done.accept(judge(answer)));
     }
 
@@ -32,10 +32,10 @@
         }
     }
 
-    static Outcome judge(Caller.Answer answer) {
+    static Outcome judge(PooledHttpClient.Answer answer) {
         var load = answer.header("Server-Load");
-        if (answer.fate() != Caller.Fate.ANSWERED) {
-            return new Outcome(answer.fate() == Caller.Fate.NOT_SENT ? Result.NOT_RUN : Result.UNKNOWN, "", load);
+        if (answer.fate() != PooledHttpClient.Fate.ANSWERED) {
+            return new Outcome(answer.fate() == PooledHttpClient.Fate.NOT_SENT ? Result.NOT_RUN : Result.UNKNOWN, "", load);
         }
         var seal = answer.header("Server-Seal");
         if (answer.status() / 100 == 2 && !seal.isEmpty()) {
--- a/src/main/java/wellwheel/keeper/Message.java
+++ b/src/main/java/wellwheel/queue/Message.java
@@ -1,16 +1,16 @@
-package wellwheel.keeper;
+package wellwheel.queue;
 
+import wellwheel.transport.Frame;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import wellwheel.lantern.Frame;
 
 final class Message {
     enum State { WAITING, FINISHED, FAILED }
 
     private static final int ATTEMPTS_MOST = 8;
 
-    final int line;
+    final int partition;
     final String id;
     final String tenant;
     final String host;
@@ -27,7 +27,7 @@
     String seal = "";
     long endedUs;
     int fails;
-    long leg;
+    long attempt;
     long epoch;
     long rev;
     long seq;
@@ -51,17 +51,17 @@
     String ranAt = "";
     String lastOutcome = "";
     List<String> attempts = List.of();
-    long legSinceUs;
+    long attemptSinceUs;
     long offeredUs;
     int rank;
     boolean spentOnNew;
     String ranVersion = "";
-    Runnable berthed = () -> { };
+    Runnable onLeave = () -> { };
     final List<Consumer<Boolean>> keptWaiters = new ArrayList<>();
     final List<Runnable> settleWaiters = new ArrayList<>();
 
     Message(Frame frame) {
-        line = frame.small("l");
+        partition = frame.small("l");
         id = frame.text("i");
         tenant = frame.text("t");
         host = frame.text("h");
@@ -82,10 +82,10 @@
         seal = frame.text("sl");
         endedUs = frame.number("en");
         fails = frame.small("f");
-        leg = frame.number("g");
+        attempt = frame.number("g");
         rev = frame.number("v");
         epoch = frame.number("ep");
-        lease = frame.has("le") ? line + "." + frame.number("le") + "." + leg : "";
+        lease = frame.has("le") ? partition + "." + frame.number("le") + "." + attempt : "";
         endedLease = frame.flag("ee") ? lease : "";
         endedByWorker = frame.flag("w");
         untold = frame.flag("q");
@@ -106,12 +106,12 @@
         var parts = otherLease.split("\\.");
         var epoch = epochOf(otherLease);
         var known = epochOf(lease);
-        return epoch < openedEpoch && (epoch > known || epoch == known && Long.parseLong(parts[2]) > leg);
+        return epoch < openedEpoch && (epoch > known || epoch == known && Long.parseLong(parts[2]) > attempt);
     }
 
     void takeOver(String otherLease) {
         lease = otherLease;
-        leg = Long.parseLong(otherLease.split("\\.")[2]);
+        attempt = Long.parseLong(otherLease.split("\\.")[2]);
     }
 
     Frame whole() {
@@ -120,8 +120,8 @@
     }
 
     Frame change() {
-        var frame = Frame.of("u").with("l", line).with("i", id).with("st", state.ordinal()).with("sl", seal).with("en", endedUs)
-            .with("f", fails).with("g", leg).with("v", rev).with("ep", epoch).with("w", endedByWorker).with("q", untold).with("z", spentOnNew).with("ee", !lease.isEmpty() && endedLease.equals(lease));
+        var frame = Frame.of("u").with("l", partition).with("i", id).with("st", state.ordinal()).with("sl", seal).with("en", endedUs)
+            .with("f", fails).with("g", attempt).with("v", rev).with("ep", epoch).with("w", endedByWorker).with("q", untold).with("z", spentOnNew).with("ee", !lease.isEmpty() && endedLease.equals(lease));
         if (!after.isEmpty()) {
             frame.with("ra", List.<Object>copyOf(after));
         }
--- a/src/main/java/wellwheel/keeper/Steps.java
+++ b/src/main/java/wellwheel/queue/StepDependencies.java
@@ -1,5 +1,6 @@
-package wellwheel.keeper;
+package wellwheel.queue;
 
+import wellwheel.runtime.Clock;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -11,9 +12,8 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import wellwheel.lantern.Clock;
 
-final class Steps {
+final class StepDependencies {
     enum Ended { NOT_YET, WELL, FAILED, FORGOTTEN }
 
     private static final long ASK_US = 500_000;
@@ -31,16 +31,16 @@
         }
     };
 
-    Steps(Clock clock, Consumer<String> ask) {
+    StepDependencies(Clock clock, Consumer<String> ask) {
         this.clock = clock;
         this.ask = ask;
     }
 
     static String name(Message message) {
-        return message.line + "-" + message.id;
+        return message.partition + "-" + message.id;
     }
 
-    static Optional<Integer> lineOf(String step) {
+    static Optional<Integer> partitionOf(String step) {
         var dash = step.indexOf('-');
         return dash > 0 && dash < 3 && step.substring(0, dash).matches("[0-9]+") ? Optional.of(Integer.parseInt(step.substring(0, dash))) : Optional.empty();
     }
--- a/src/main/java/wellwheel/keeper/Lookout.java
+++ b/src/main/java/wellwheel/queue/StragglerDetector.java
@@ -1,13 +1,13 @@
-package wellwheel.keeper;
+package wellwheel.queue;
 
+import wellwheel.transport.Frame;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import wellwheel.lantern.Frame;
 
-final class Lookout {
+final class StragglerDetector {
     private static final long FADE_US = 1_000_000;
     private static final long REPORT_US = 100_000;
     private static final double FADE = 0.85;
@@ -19,7 +19,7 @@
     private static final int ROWS_MOST = 256;
     private static final int KNOWN = 8;
 
-    private record Leg(String service, String worker, String path, long sinceUs) { }
+    private record Attempt(String service, String worker, String path, long sinceUs) { }
 
     private static final class Typical {
         double us;
@@ -36,7 +36,7 @@
     }
 
     private static final class Worker {
-        double legs;
+        double attempts;
         double ratios;
         final long seenUs;
 
@@ -54,7 +54,7 @@
         };
     }
 
-    private final Map<String, Leg> running = bounded(LEGS_MOST);
+    private final Map<String, Attempt> running = bounded(LEGS_MOST);
     private final Map<String, Typical> typical = bounded(WORKERS_MOST);
     private final Map<String, Worker> workers = bounded(WORKERS_MOST);
     private long fadedUs;
@@ -64,31 +64,31 @@
     void begins(String service, String worker, String path, String lease, long nowUs) {
         if (!worker.isEmpty()) {
             workers.computeIfAbsent(service + "\n" + worker, key -> new Worker(nowUs));
-            running.put(lease, new Leg(service, worker, path, nowUs));
+            running.put(lease, new Attempt(service, worker, path, nowUs));
         }
     }
 
     void ends(String lease, boolean done, long nowUs) {
-        var leg = running.remove(lease);
-        if (leg == null || !done) {
+        var attempt = running.remove(lease);
+        if (attempt == null || !done) {
             return;
         }
-        var usual = typical.computeIfAbsent(leg.path(), path -> new Typical());
-        var tookUs = Math.max(1, nowUs - leg.sinceUs());
+        var usual = typical.computeIfAbsent(attempt.path(), path -> new Typical());
+        var tookUs = Math.max(1, nowUs - attempt.sinceUs());
         if (usual.samples >= KNOWN) {
-            var worker = workers.computeIfAbsent(leg.service() + "\n" + leg.worker(), key -> new Worker(leg.sinceUs()));
-            worker.legs++;
+            var worker = workers.computeIfAbsent(attempt.service() + "\n" + attempt.worker(), key -> new Worker(attempt.sinceUs()));
+            worker.attempts++;
             worker.ratios += tookUs / Math.max(1_000, usual.us);
         }
         usual.add(tookUs);
     }
 
-    Optional<Frame> report(Map<String, Desk> desks, long nowUs) {
+    Optional<Frame> report(Map<String, Dispatcher> dispatchers, long nowUs) {
         if (nowUs - fadedUs > FADE_US) {
             fadedUs = nowUs;
-            desks.values().forEach(desk -> desk.fade(FADE));
+            dispatchers.values().forEach(dispatcher -> dispatcher.fade(FADE));
             workers.values().forEach(worker -> {
-                worker.legs *= FADE;
+                worker.attempts *= FADE;
                 worker.ratios *= FADE;
             });
         }
@@ -96,10 +96,10 @@
             return Optional.empty();
         }
         var services = new ArrayList<String>();
-        desks.values().stream().filter(desk -> desk.latestPart(nowUs) > EARLY).forEach(desk -> services.add(desk.service));
+        dispatchers.values().stream().filter(dispatcher -> dispatcher.latestPart(nowUs) > EARLY).forEach(dispatcher -> services.add(dispatcher.service));
         longest(nowUs).forEach((key, ratio) -> {
             var worker = workers.get(key);
-            if (ratio >= STUCK || worker != null && worker.legs >= 3 && worker.ratios / worker.legs >= SLOW) {
+            if (ratio >= STUCK || worker != null && worker.attempts >= 3 && worker.ratios / worker.attempts >= SLOW) {
                 services.add(key.substring(0, key.indexOf('\n')));
             }
         });
@@ -108,18 +108,18 @@
         }
         reportedUs = nowUs;
         told = !services.isEmpty();
-        return Optional.of(rows(desks, services, nowUs));
+        return Optional.of(rows(dispatchers, services, nowUs));
     }
 
-    Frame rows(Map<String, Desk> desks, List<String> services, long nowUs) {
+    Frame rows(Map<String, Dispatcher> dispatchers, List<String> services, long nowUs) {
         var tenants = new ArrayList<Object>();
-        services.stream().distinct().filter(desks::containsKey).forEach(service -> tenants.addAll(desks.get(service).tenantRows(nowUs)));
+        services.stream().distinct().filter(dispatchers::containsKey).forEach(service -> tenants.addAll(dispatchers.get(service).tenantRows(nowUs)));
         var slow = longest(nowUs);
         var rows = new ArrayList<Object>();
         workers.forEach((key, worker) -> {
             var cut = key.indexOf('\n');
             if (services.contains(key.substring(0, cut))) {
-                rows.add(new Frame().with("s", key.substring(0, cut)).with("w", key.substring(cut + 1)).with("n", Math.round(worker.legs * 100)).with("r", Math.round(worker.ratios * 100))
+                rows.add(new Frame().with("s", key.substring(0, cut)).with("w", key.substring(cut + 1)).with("n", Math.round(worker.attempts * 100)).with("r", Math.round(worker.ratios * 100))
                     .with("l", Math.round(slow.getOrDefault(key, 0.0) * 100)).with("a", nowUs - worker.seenUs));
             }
         });
@@ -130,10 +130,10 @@
     private Map<String, Double> longest(long nowUs) {
         var found = new LinkedHashMap<String, Double>();
         workers.forEach((key, worker) -> found.put(key, 0.0));
-        running.values().forEach(leg -> {
-            var usual = typical.get(leg.path());
+        running.values().forEach(attempt -> {
+            var usual = typical.get(attempt.path());
             if (usual != null && usual.samples >= KNOWN) {
-                found.merge(leg.service() + "\n" + leg.worker(), (nowUs - leg.sinceUs()) / Math.max(1_000, usual.us), Math::max);
+                found.merge(attempt.service() + "\n" + attempt.worker(), (nowUs - attempt.sinceUs()) / Math.max(1_000, usual.us), Math::max);
             }
         });
         return found;
--- a/src/main/java/wellwheel/lantern/Clock.java
+++ b/src/main/java/wellwheel/runtime/Clock.java
@@ -1,4 +1,4 @@
-package wellwheel.lantern;
+package wellwheel.runtime;
 
 public interface Clock {
     long steadyUs();
--- a/src/main/java/wellwheel/lantern/JsonLogs.java
+++ b/src/main/java/wellwheel/runtime/JsonLogHandler.java
@@ -1,8 +1,8 @@
-package wellwheel.lantern;
+package wellwheel.runtime;
 
 import java.util.ResourceBundle;
 
-public final class JsonLogs extends System.LoggerFinder {
+public final class JsonLogHandler extends System.LoggerFinder {
     @Override
     public System.Logger getLogger(String name, Module module) {
         return new Lines(name);
--- a/src/main/java/wellwheel/lantern/LoopClock.java
+++ b/src/main/java/wellwheel/runtime/LoopClock.java
@@ -1,4 +1,4 @@
-package wellwheel.lantern;
+package wellwheel.runtime;
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
@@ -35,7 +35,7 @@
         try {
             task.run();
         } catch (RuntimeException e) {
-            LOG.log(System.Logger.Level.ERROR, "code=" + Codes.INNER.number(), e);
+            LOG.log(System.Logger.Level.ERROR, "code=" + ResultCode.INNER.number(), e);
         }
     }
 }
--- a/src/main/java/wellwheel/lantern/Station.java
+++ b/src/main/java/wellwheel/runtime/NodeRuntime.java
@@ -1,5 +1,6 @@
-package wellwheel.lantern;
+package wellwheel.runtime;
 
+import wellwheel.config.NodeOptions;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.internal.logging.InternalLoggerFactory;
@@ -10,18 +11,18 @@
 import java.util.function.Consumer;
 import sun.misc.Signal;
 
-public final class Station {
-    private static final System.Logger LOG = System.getLogger("station");
+public final class NodeRuntime {
+    private static final System.Logger LOG = System.getLogger("runtime");
     public static final int BAD_OPTIONS_STATUS = 78;
 
     private final EventLoop loop;
     private final LoopClock clock;
-    private final Options options;
+    private final NodeOptions options;
     private Consumer<List<String>> seedTaker = seeds -> { };
 
-    private Station(Options options) {
+    private NodeRuntime(NodeOptions options) {
         this.options = options;
-        var group = new NioEventLoopGroup(1, (ThreadFactory) Station::loopThread);
+        var group = new NioEventLoopGroup(1, (ThreadFactory) NodeRuntime::loopThread);
         loop = group.next();
         clock = new LoopClock(loop);
     }
@@ -32,7 +33,7 @@
         return thread;
     }
 
-    public static Station start() {
+    public static NodeRuntime start() {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         System.setProperty("io.netty.allocator.type", "unpooled");
         System.setProperty("io.netty.noPreferDirect", "false");
@@ -42,20 +43,20 @@
         System.setProperty("io.netty.processId", "1");
         System.setProperty("io.netty.machineId", "00:00:00:00:00:01");
         try {
-            return new Station(Options.load());
-        } catch (Options.Unusable e) {
-            LOG.log(System.Logger.Level.ERROR, "code=" + Codes.BAD_OPTIONS.number() + " " + e.getMessage());
+            return new NodeRuntime(NodeOptions.load());
+        } catch (NodeOptions.Unusable e) {
+            LOG.log(System.Logger.Level.ERROR, "code=" + ResultCode.BAD_OPTIONS.number() + " " + e.getMessage());
             System.exit(BAD_OPTIONS_STATUS);
             throw new IllegalStateException(e);
         }
     }
 
-    public static Station with(Options options) {
+    public static NodeRuntime with(NodeOptions options) {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-        return new Station(options);
+        return new NodeRuntime(options);
     }
 
-    public Options options() {
+    public NodeOptions options() {
         return options;
     }
 
@@ -79,11 +80,11 @@
 
     private void reread() {
         try {
-            var fresh = Options.load();
-            seedTaker.accept(fresh.seeds().stream().map(Options::hostOf).toList());
+            var fresh = NodeOptions.load();
+            seedTaker.accept(fresh.seeds().stream().map(NodeOptions::hostOf).toList());
             LOG.log(System.Logger.Level.INFO, fresh.equals(options) ? "options read again, unchanged" : "options changed: new seeds are taken now, the rest at the next start");
-        } catch (Options.Unusable e) {
-            LOG.log(System.Logger.Level.ERROR, "code=" + Codes.BAD_OPTIONS.number() + " kept the old options: " + e.getMessage());
+        } catch (NodeOptions.Unusable e) {
+            LOG.log(System.Logger.Level.ERROR, "code=" + ResultCode.BAD_OPTIONS.number() + " kept the old options: " + e.getMessage());
         }
     }
 
--- a/src/main/java/wellwheel/lantern/Codes.java
+++ b/src/main/java/wellwheel/runtime/ResultCode.java
@@ -1,6 +1,6 @@
-package wellwheel.lantern;
+package wellwheel.runtime;
 
-public enum Codes {
+public enum ResultCode {
     KEPT(1000, 202, "the message is kept on every disk it is owed"),
     FINE(1001, 200, "done"),
     NOTHING(1002, 204, "no job within the wait"),
@@ -20,7 +20,7 @@
     BAD_STEPS(2013, 400, "Runs-After is not a list of one to eight message names"),
     NOT_KEPT(3000, 503, "cannot be kept now; it was not taken and will never run"),
     UNSURE(3001, 504, "unknown whether it was kept"),
-    NO_CLAIM(3002, 503, "this node holds no fresh claim"),
+    NO_CLAIM(3002, 503, "this node holds no fresh lease"),
     NO_LEADER(3003, 503, "no leader yet"),
     ELSEWHERE(3004, 307, "the leader is at Location"),
     BAD_CONFIG(4000, 400, "the configuration is invalid"),
@@ -29,22 +29,22 @@
     TOO_FEW(4003, 409, "too few storage nodes would remain"),
     NO_SERVICE(4004, 404, "no such service, or no policy for it"),
     BAD_POLICY(4005, 400, "the policy is invalid"),
-    OTHER_SHIFT(4006, 409, "the shift is not in a state for this order"),
+    OTHER_SHIFT(4006, 409, "the rollout is not in a state for this order"),
     BAD_RANGE(4007, 400, "the range of history is not one"),
     NOT_HELD(4008, 409, "the message is not held back by a step"),
     BAD_OPTIONS(5000, 0, "the options file is unusable; the process ends with status 78"),
     JOURNAL_CUT(5001, 0, "a damaged journal tail was cut"),
-    LINE_LOST(5002, 0, "all copies of a line are gone; it starts empty"),
+    LINE_LOST(5002, 0, "all copies of a partition are gone; it starts empty"),
     LIMIT_EXCEEDED(5003, 0, "a hand-in was refused by a limit"),
     INNER(5004, 0, "an unexpected fault inside the process"),
-    FEW_VOTERS(5005, 0, "fewer pilots vote than the losses to be borne demand"),
+    FEW_VOTERS(5005, 0, "fewer control nodes vote than the losses to be borne demand"),
     BAD_STATE(5006, 0, "the state on disk cannot be read whole; the process ends with status 79"),
     JOURNAL_DAMAGED(5007, 0, "what a journal had synced is damaged; the disk counts as lost"),
     JOURNAL_FOREIGN(5008, 0, "a journal on disk is another node's; the process ends with status 79"),
     HELD_BACK(5010, 0, "a tenant waits far longer than others of its partition"),
     LAGGARD(5011, 0, "a worker has fallen behind its peers"),
     WARNING_ENDS(5012, 0, "a warning is over"),
-    SHIFT_MOVES(5013, 0, "a version shift starts, takes a step, ends or goes back"),
+    SHIFT_MOVES(5013, 0, "a version rollout starts, takes a step, ends or goes back"),
     HISTORY_DAMAGED(5014, 0, "damaged records of queue history were skipped"),
     STEP_HOLDS(5015, 0, "a step that failed holds later ones back");
 
@@ -52,7 +52,7 @@
     private final int status;
     private final String meaning;
 
-    Codes(int number, int status, String meaning) {
+    ResultCode(int number, int status, String meaning) {
         this.number = number;
         this.status = status;
         this.meaning = meaning;
--- a/src/main/java/wellwheel/lantern/Waker.java
+++ b/src/main/java/wellwheel/runtime/WakeUpTimer.java
@@ -1,12 +1,12 @@
-package wellwheel.lantern;
+package wellwheel.runtime;
 
-public final class Waker {
+public final class WakeUpTimer {
     private final Clock clock;
     private final Runnable task;
     private Clock.Schedule armed = () -> { };
     private long atUs = Long.MAX_VALUE;
 
-    public Waker(Clock clock, Runnable task) {
+    public WakeUpTimer(Clock clock, Runnable task) {
         this.clock = clock;
         this.task = task;
     }
--- a/src/main/java/wellwheel/tide/Days.java
+++ b/src/main/java/wellwheel/simulation/Days.java
@@ -1,4 +1,4 @@
-package wellwheel.tide;
+package wellwheel.simulation;
 
 import java.io.IOException;
 import java.io.PrintWriter;
--- a/src/main/java/wellwheel/tide/Fleet.java
+++ b/src/main/java/wellwheel/simulation/Fleet.java
@@ -1,5 +1,9 @@
-package wellwheel.tide;
+package wellwheel.simulation;
 
+import wellwheel.cluster.ClusterView;
+import wellwheel.queue.DeliveryClient;
+import wellwheel.runtime.ResultCode;
+import wellwheel.transport.Exchange;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,22 +17,18 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import wellwheel.keeper.Courier;
-import wellwheel.lantern.Codes;
-import wellwheel.lantern.Exchange;
-import wellwheel.lantern.Layout;
 
 @Command(name = "fleet", mixinStandardHelpOptions = true, description = "A hollow fleet: the state machines of many nodes in one process, with frames, bytes and processor time counted by role.")
 public final class Fleet implements Callable<Integer>, World.Processors {
     private static final long SECOND = 1_000_000;
     private static final String HOST = "hollow.example";
 
-    @Option(names = "--galleries", description = "edge nodes in all (default ${DEFAULT-VALUE})")
-    int galleries = 12;
-    @Option(names = "--keepers", description = "storage nodes in all (default ${DEFAULT-VALUE})")
-    int keepers = 6;
-    @Option(names = "--pilots", description = "core nodes (default ${DEFAULT-VALUE})")
-    int pilots = 5;
+    @Option(names = "--edges", description = "edge nodes in all (default ${DEFAULT-VALUE})")
+    int edges = 12;
+    @Option(names = "--storage-nodes", description = "storage nodes in all (default ${DEFAULT-VALUE})")
+    int storageNodes = 6;
+    @Option(names = "--control-nodes", description = "core nodes (default ${DEFAULT-VALUE})")
+    int controlNodes = 5;
     @Option(names = "--zones", description = "zones (default ${DEFAULT-VALUE})")
     int zones = 6;
     @Option(names = "--survive", description = "losses to bear at once (default ${DEFAULT-VALUE})")
@@ -68,8 +68,8 @@
 
     @Override
     public Integer call() {
-        if (galleries < 1 || keepers < survive + 1 || pilots < 1 || zones < 1 || tenants < 1 || seconds < 1 || galleries > 2000 || keepers > 2000) {
-            System.err.println("fleet: needs one gallery, pilot, zone, tenant and second at least, a keeper more than the losses to bear, and at most 2000 nodes of a role");
+        if (edges < 1 || storageNodes < survive + 1 || controlNodes < 1 || zones < 1 || tenants < 1 || seconds < 1 || edges > 2000 || storageNodes > 2000) {
+            System.err.println("fleet: needs one edge node, control node, zone, tenant and second at least, a storage node more than the losses to bear, and at most 2000 nodes of a role");
             return 2;
         }
         var rows = measure();
@@ -88,14 +88,14 @@
 
     public List<Row> measure() {
         var names = IntStream.range(0, zones).mapToObj(zone -> "zone-" + zone).toList();
-        world = new World(new World.Shape(names, Math.max(1, galleries / zones), keepers, 200, 500, 700, 600_000, 100_000, pilots, survive), seed, this);
+        world = new World(new World.Shape(names, Math.max(1, edges / zones), storageNodes, 200, 500, 700, 600_000, 100_000, controlNodes, survive), seed, this);
         world.withoutWatch();
         feedRoster();
         world.runFor(6 * SECOND);
-        var taken = new ArrayList<Codes>();
+        var taken = new ArrayList<ResultCode>();
         configure(taken);
         world.runFor(3 * SECOND);
-        if (!taken.contains(Codes.FINE)) {
+        if (!taken.contains(ResultCode.FINE)) {
             throw new IllegalStateException("the fleet took no configuration: " + taken);
         }
         if (backlog > 0) {
@@ -112,18 +112,18 @@
         world.resetCounts();
         world.runFor(seconds * SECOND);
         load = false;
-        return List.of("gallery", "keeper", "pilot").stream().map(this::row).toList();
+        return List.of("edge", "storage", "control").stream().map(this::row).toList();
     }
 
     private void pileUp() {
         var heapBefore = heapBytes();
-        var diskBefore = world.journalBytesInAll("keeper");
+        var diskBefore = world.journalBytesInAll("storage");
         for (var number = 0; number < backlog; number++) {
             var headers = Map.of("Host", HOST, "Attempt-Id", "waits-" + number, "Authorization", "Bearer key-" + number % tenants, "Time-Left-Ms", "9000", "Delay-Ms", "900000000");
-            world.after(number * 500L, () -> world.ask(anyGallery(), "POST", "/pulled/x", headers, new byte[800], answer -> accepted += answer.filter(each -> each.code() == Codes.KEPT).isPresent() ? 1 : 0));
+            world.after(number * 500L, () -> world.ask(anyEdge(), "POST", "/pulled/x", headers, new byte[800], answer -> accepted += answer.filter(each -> each.code() == ResultCode.KEPT).isPresent() ? 1 : 0));
         }
         world.runFor(backlog * 500L + 5 * SECOND);
-        var disk = world.journalBytesInAll("keeper") - diskBefore;
+        var disk = world.journalBytesInAll("storage") - diskBefore;
         var copies = Math.max(1.0, accepted * (1.0 + Math.max(1, survive)));
         backlogBytes = new double[] {(heapBytes() - heapBefore - disk) / copies, disk / copies};
     }
@@ -172,16 +172,16 @@
     }
 
     private void feedRoster() {
-        world.leader().ifPresent(host -> host.pilot().roster(List.of(new Layout.Processor("p1", "ordered", "10.8.0.1:80", "zone-0", 500, false, 0, "v1"), new Layout.Processor("p2", "ordered", "10.8.0.2:80", "zone-0", 500, false, 0, "v1"))));
+        world.leader().ifPresent(host -> host.control().roster(List.of(new ClusterView.Processor("p1", "ordered", "10.8.0.1:80", "zone-0", 500, false, 0, "v1"), new ClusterView.Processor("p2", "ordered", "10.8.0.2:80", "zone-0", 500, false, 0, "v1"))));
         world.after(300_000, this::feedRoster);
     }
 
-    private void configure(List<Codes> taken) {
+    private void configure(List<ResultCode> taken) {
         var base = revision;
         var next = revision + 1;
         world.configure(config(next).getBytes(StandardCharsets.UTF_8), base, reply -> {
             taken.add(reply.code());
-            revision = reply.code() == Codes.FINE ? next : revision;
+            revision = reply.code() == ResultCode.FINE ? next : revision;
         });
     }
 
@@ -217,31 +217,31 @@
         return "{\"Name\":\"" + name + "\",\"MaxConns\":500,\"RatePerS\":" + rate + ",\"DropsRepeats\":false,\"WorkerPull\":" + pull + ",\"Endpoint\":" + endpoint + "}";
     }
 
-    private World.Host anyGallery() {
-        var all = world.hosts("gallery");
-        return all.get(world.luck().nextInt(all.size()));
+    private World.Host anyEdge() {
+        var all = world.hosts("edge");
+        return all.get(world.random().nextInt(all.size()));
     }
 
     private void hand() {
         if (!load) {
             return;
         }
-        var kind = endpoints == 0 ? world.luck().nextInt(3) : world.luck().nextInt(4);
-        var service = kind < 2 ? "pulled" : kind == 2 ? "ordered" : "end" + world.luck().nextInt(endpoints);
-        var headers = new HashMap<>(Map.of("Host", HOST, "Attempt-Id", "m" + sent++, "Authorization", "Bearer key-" + world.luck().nextInt(tenants), "Time-Left-Ms", "1000"));
+        var kind = endpoints == 0 ? world.random().nextInt(3) : world.random().nextInt(4);
+        var service = kind < 2 ? "pulled" : kind == 2 ? "ordered" : "end" + world.random().nextInt(endpoints);
+        var headers = new HashMap<>(Map.of("Host", HOST, "Attempt-Id", "m" + sent++, "Authorization", "Bearer key-" + world.random().nextInt(tenants), "Time-Left-Ms", "1000"));
         if (service.equals("ordered")) {
-            headers.put("Order-Key", "thing-" + world.luck().nextInt(1000));
+            headers.put("Order-Key", "thing-" + world.random().nextInt(1000));
         }
-        world.ask(anyGallery(), "POST", "/" + service + "/x", headers, new byte[800], answer -> accepted += answer.filter(each -> each.code() == Codes.KEPT).isPresent() ? 1 : 0);
-        world.after((long) (1e6 / perS * (0.5 + world.luck().nextDouble())), this::hand);
+        world.ask(anyEdge(), "POST", "/" + service + "/x", headers, new byte[800], answer -> accepted += answer.filter(each -> each.code() == ResultCode.KEPT).isPresent() ? 1 : 0);
+        world.after((long) (1e6 / perS * (0.5 + world.random().nextDouble())), this::hand);
     }
 
     private void worker() {
         if (!load) {
             return;
         }
-        world.ask(anyGallery(), "POST", "/pull/pulled", Map.of("Host", "any", "Server-Id", "w", "Wait-Ms", "1000"), new byte[0], answer -> {
-            if (answer.filter(each -> each.code() == Codes.FINE).isPresent()) {
+        world.ask(anyEdge(), "POST", "/pull/pulled", Map.of("Host", "any", "Server-Id", "w", "Wait-Ms", "1000"), new byte[0], answer -> {
+            if (answer.filter(each -> each.code() == ResultCode.FINE).isPresent()) {
                 world.after(300_000, () -> end(answer.get()));
             } else {
                 world.after(answer.isPresent() ? 1_000 : 200_000, this::worker);
@@ -252,16 +252,16 @@
     private void end(Exchange.Answer job) {
         var id = job.headers().get(job.headers().indexOf("Attempt-Id") + 1);
         var lease = job.headers().get(job.headers().indexOf("Lease") + 1);
-        world.ask(anyGallery(), "POST", "/job-end/" + id, Map.of("Host", "any", "Lease", lease, "Job-Result", "200", "Server-Seal", "s"), new byte[0], answer -> {
-            finished += answer.filter(each -> each.code() == Codes.FINE).isPresent() ? 1 : 0;
+        world.ask(anyEdge(), "POST", "/job-end/" + id, Map.of("Host", "any", "Lease", lease, "Job-Result", "200", "Server-Seal", "s"), new byte[0], answer -> {
+            finished += answer.filter(each -> each.code() == ResultCode.FINE).isPresent() ? 1 : 0;
             worker();
         });
     }
 
     @Override
-    public Optional<Courier.Outcome> run(Courier.Leg leg, long atUs) {
+    public Optional<DeliveryClient.Outcome> run(DeliveryClient.Attempt attempt, long atUs) {
         finished++;
-        return Optional.of(new Courier.Outcome(Courier.Result.DONE, "s", "1,0,500"));
+        return Optional.of(new DeliveryClient.Outcome(DeliveryClient.Result.DONE, "s", "1,0,500"));
     }
 
     @Override
--- a/src/main/java/wellwheel/tide/World.java
+++ b/src/main/java/wellwheel/simulation/World.java
@@ -1,5 +1,15 @@
-package wellwheel.tide;
-
+package wellwheel.simulation;
+
+import wellwheel.config.NodeOptions;
+import wellwheel.control.ControlNode;
+import wellwheel.edge.EdgeNode;
+import wellwheel.queue.DeliveryClient;
+import wellwheel.queue.StorageNode;
+import wellwheel.runtime.Clock;
+import wellwheel.storage.Disk;
+import wellwheel.transport.Exchange;
+import wellwheel.transport.Frame;
+import wellwheel.transport.Network;
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -13,16 +23,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
-import wellwheel.gallery.GalleryNode;
-import wellwheel.keeper.Courier;
-import wellwheel.keeper.KeeperNode;
-import wellwheel.lantern.Clock;
-import wellwheel.lantern.Disk;
-import wellwheel.lantern.Exchange;
-import wellwheel.lantern.Frame;
-import wellwheel.lantern.Options;
-import wellwheel.lantern.Wire;
-import wellwheel.pilot.PilotNode;
 
 public final class World {
     private static final long TICK_US = 50_000;
@@ -31,13 +31,13 @@
     private static final long GRACE_US = 5_500_000;
     private static final int SPOILED_BYTES = 16;
 
-    public record Shape(List<String> zones, int galleriesPerZone, int keepers, long inZoneUs, long crossZoneUs, long syncUs, long restartUs, long syncEveryUs, int pilots, int survive) {
+    public record Shape(List<String> zones, int edgesPerZone, int storageNodes, long inZoneUs, long crossZoneUs, long syncUs, long restartUs, long syncEveryUs, int controlNodes, int survive) {
         public static Shape three() {
             return new Shape(List.of("north", "east", "south"), 1, 3, 200, 900, 700, RESTART_US, 100_000, 3, 1);
         }
 
-        public Shape withGalleries(int perZone) {
-            return new Shape(zones, perZone, keepers, inZoneUs, crossZoneUs, syncUs, restartUs, syncEveryUs, pilots, survive);
+        public Shape withEdges(int perZone) {
+            return new Shape(zones, perZone, storageNodes, inZoneUs, crossZoneUs, syncUs, restartUs, syncEveryUs, controlNodes, survive);
         }
 
         public static Shape four() {
@@ -62,9 +62,9 @@
         long diskTimes = 1;
         long spentNs;
         long wakeUps;
-        Optional<PilotNode> pilot = Optional.empty();
-        Optional<KeeperNode> keeper = Optional.empty();
-        Optional<GalleryNode> gallery = Optional.empty();
+        Optional<ControlNode> control = Optional.empty();
+        Optional<StorageNode> storage = Optional.empty();
+        Optional<EdgeNode> edge = Optional.empty();
 
         Host(String name, String role, String ip, String zone) {
             this.name = name;
@@ -73,16 +73,16 @@
             this.zone = zone;
         }
 
-        public KeeperNode keeper() {
-            return keeper.orElseThrow();
+        public StorageNode storage() {
+            return storage.orElseThrow();
         }
 
-        public GalleryNode gallery() {
-            return gallery.orElseThrow();
+        public EdgeNode edge() {
+            return edge.orElseThrow();
         }
 
-        public PilotNode pilot() {
-            return pilot.orElseThrow();
+        public ControlNode control() {
+            return control.orElseThrow();
         }
 
         public boolean up() {
@@ -98,13 +98,13 @@
             var wire = new SimWire(this, life);
             var bound = disk.bind(this, life);
             switch (role) {
-                case "pilot" -> pilot = Optional.of(new PilotNode(options, clock, wire, bound, luck.nextLong()));
-                case "keeper" -> keeper = Optional.of(new KeeperNode(options, clock, wire, bound, new SimCourier(this, life), luck.nextLong()));
-                default -> gallery = Optional.of(new GalleryNode(options, clock, wire, luck.nextLong()));
+                case "control" -> control = Optional.of(new ControlNode(options, clock, wire, bound, random.nextLong()));
+                case "storage" -> storage = Optional.of(new StorageNode(options, clock, wire, bound, new SimDeliveryClient(this, life), random.nextLong()));
+                default -> edge = Optional.of(new EdgeNode(options, clock, wire, random.nextLong()));
             }
             firstBoot = false;
-            if (gallery.isPresent()) {
-                gallery.get().tick();
+            if (edge.isPresent()) {
+                edge.get().tick();
             } else {
                 tick(life);
             }
@@ -112,8 +112,8 @@
         }
 
         private void learn(int atLife) {
-            if (up && life == atLife && pilot.isPresent()) {
-                pilot.get().learn();
+            if (up && life == atLife && control.isPresent()) {
+                control.get().learn();
                 at(nowUs + LEARN_US, () -> learn(atLife));
             }
         }
@@ -145,28 +145,28 @@
         }
 
         private void tickNow(int atLife) {
-            pilot.ifPresent(PilotNode::tick);
-            keeper.ifPresent(KeeperNode::tick);
+            control.ifPresent(ControlNode::tick);
+            storage.ifPresent(StorageNode::tick);
             at(nowUs + TICK_US, () -> tick(atLife));
         }
 
-        Optional<Wire.Ear> ear() {
+        Optional<Network.MessageHandler> handler() {
             if (!up) {
                 return Optional.empty();
             }
-            return pilot.map(node -> (Wire.Ear) node).or(() -> keeper.map(node -> (Wire.Ear) node)).or(() -> gallery.map(node -> (Wire.Ear) node));
+            return control.map(node -> (Network.MessageHandler) node).or(() -> storage.map(node -> (Network.MessageHandler) node)).or(() -> edge.map(node -> (Network.MessageHandler) node));
         }
 
         void end() {
-            if (keeper.isPresent()) {
-                keeperEndsUs.add(nowUs);
+            if (storage.isPresent()) {
+                storageEndsUs.add(nowUs);
             }
             up = false;
             frozenUntilUs = 0;
             life++;
-            pilot = Optional.empty();
-            keeper = Optional.empty();
-            gallery = Optional.empty();
+            control = Optional.empty();
+            storage = Optional.empty();
+            edge = Optional.empty();
             List.copyOf(openPulls).forEach(pull -> pull.hostGone(this));
         }
     }
@@ -204,7 +204,7 @@
         }
     }
 
-    private final class SimWire implements Wire {
+    private final class SimWire implements Network {
         private final Host host;
         private final int life;
 
@@ -237,7 +237,7 @@
             }
             if (!peer.up) {
                 loseLater(peerIp, 2_000);
-                at(nowUs + 2_000, () -> tell(ear -> ear.onUnsent(peerIp, frame)));
+                at(nowUs + 2_000, () -> tell(handler -> handler.onUnsent(peerIp, frame)));
                 return;
             }
             if (nowUs < peer.frozenUntilUs) {
@@ -245,32 +245,32 @@
             }
             var link = host.ip + ">" + peerIp;
             var peerLife = peer.life;
-            var atUs = Math.max(linkFreeUs.getOrDefault(link, 0L), nowUs + delayUs(host.zone, peer.zone) + (host.role.equals("pilot") ? lagUs.getOrDefault(peerIp, 0L) : 0));
+            var atUs = Math.max(linkFreeUs.getOrDefault(link, 0L), nowUs + delayUs(host.zone, peer.zone) + (host.role.equals("control") ? lagUs.getOrDefault(peerIp, 0L) : 0));
             linkFreeUs.put(link, atUs);
             at(atUs, () -> {
                 if (!cut(host.ip, peerIp)) {
-                    peer.awake(peerLife, () -> peer.ear().ifPresent(ear -> ear.onFrame(host.ip, Frame.unpack(bytes))));
+                    peer.awake(peerLife, () -> peer.handler().ifPresent(handler -> handler.onFrame(host.ip, Frame.unpack(bytes))));
                 }
             });
         }
 
         private void loseLater(String peerIp, long waitUs) {
-            at(nowUs + waitUs, () -> tell(ear -> ear.onDown(peerIp)));
+            at(nowUs + waitUs, () -> tell(handler -> handler.onDown(peerIp)));
         }
 
-        private void tell(Consumer<Ear> what) {
-            host.awake(life, () -> host.ear().ifPresent(what));
+        private void tell(Consumer<MessageHandler> what) {
+            host.awake(life, () -> host.handler().ifPresent(what));
         }
     }
 
-    public interface DiskEar {
+    public interface DiskListener {
         void kept(Host host, String file, boolean anew, byte[] bytes);
     }
 
-    private DiskEar diskEar = (host, file, anew, bytes) -> { };
+    private DiskListener diskListener = (host, file, anew, bytes) -> { };
 
-    public void onDisk(DiskEar ear) {
-        diskEar = ear;
+    public void onDisk(DiskListener handler) {
+        diskListener = handler;
     }
 
     private static final class SimWrite {
@@ -287,17 +287,17 @@
         final ByteArrayOutputStream synced = new ByteArrayOutputStream();
         final List<SimWrite> written = new ArrayList<>();
 
-        void settle(int count, Consumer<SimWrite> ear) {
+        void settle(int count, Consumer<SimWrite> handler) {
             var done = written.subList(0, count);
             done.forEach(write -> {
                 put(synced, write);
-                ear.accept(write);
+                handler.accept(write);
             });
             done.clear();
         }
 
-        void settleUpTo(SimWrite write, Consumer<SimWrite> ear) {
-            settle(written.indexOf(write) + 1, ear);
+        void settleUpTo(SimWrite write, Consumer<SimWrite> handler) {
+            settle(written.indexOf(write) + 1, handler);
         }
 
         byte[] seen() {
@@ -314,10 +314,10 @@
             out.writeBytes(write.bytes);
         }
 
-        void losePower(Random luck, Random mischief) {
+        void losePower(Random random, Random faults) {
             var sure = synced.size();
             for (var write : written) {
-                if (write.whole && mischief.nextBoolean()) {
+                if (write.whole && faults.nextBoolean()) {
                     break;
                 }
                 if (write.whole) {
@@ -325,16 +325,16 @@
                     sure = synced.size();
                     continue;
                 }
-                var kept = switch (luck.nextInt(3)) {
+                var kept = switch (random.nextInt(3)) {
                     case 0 -> write.bytes.length;
-                    case 1 -> luck.nextInt(write.bytes.length + 1);
+                    case 1 -> random.nextInt(write.bytes.length + 1);
                     default -> 0;
                 };
                 synced.writeBytes(Arrays.copyOf(Arrays.copyOf(write.bytes, kept), write.bytes.length));
                 sure = kept > 0 ? synced.size() - write.bytes.length + kept : sure;
             }
             written.clear();
-            if (mischief.nextBoolean()) {
+            if (faults.nextBoolean()) {
                 shorten(sure);
             }
         }
@@ -370,14 +370,14 @@
             file(name).written.add(write);
             freeAtUs = Math.max(freeAtUs, nowUs + syncTimes * shape.syncUs() * host.diskTimes);
             at(freeAtUs, () -> host.awake(life, () -> {
-                file(name).settleUpTo(write, done -> diskEar.kept(host, name, done.whole, done.bytes));
+                file(name).settleUpTo(write, done -> diskListener.kept(host, name, done.whole, done.bytes));
                 synced.run();
             }));
         }
 
         Disk bind(Host host, int life) {
             freeAtUs = nowUs;
-            files.forEach((name, file) -> file.settle(file.written.size(), done -> diskEar.kept(host, name, done.whole, done.bytes)));
+            files.forEach((name, file) -> file.settle(file.written.size(), done -> diskListener.kept(host, name, done.whole, done.bytes)));
             return new Disk() {
                 @Override
                 public byte[] load(String name) {
@@ -400,35 +400,35 @@
         void die() {
             files.values().forEach(file -> {
                 var queued = file.written;
-                queued.subList(queued.size() - mischief.nextInt(queued.size() + 1), queued.size()).clear();
+                queued.subList(queued.size() - faults.nextInt(queued.size() + 1), queued.size()).clear();
             });
         }
 
         void losePower() {
-            files.values().forEach(file -> file.losePower(luck, mischief));
+            files.values().forEach(file -> file.losePower(random, faults));
         }
     }
 
     public interface Processors {
-        Optional<Courier.Outcome> run(Courier.Leg leg, long atUs);
+        Optional<DeliveryClient.Outcome> run(DeliveryClient.Attempt attempt, long atUs);
 
         long workUs();
     }
 
-    private final class SimCourier implements Courier {
+    private final class SimDeliveryClient implements DeliveryClient {
         private final Host host;
         private final int life;
 
-        SimCourier(Host host, int life) {
+        SimDeliveryClient(Host host, int life) {
             this.host = host;
             this.life = life;
         }
 
         @Override
-        public void deliver(Leg leg, Consumer<Outcome> done) {
+        public void deliver(Attempt attempt, Consumer<Outcome> done) {
             at(nowUs + 1_000, () -> {
-                var outcome = processors.run(leg, nowUs);
-                var waitUs = outcome.isPresent() ? outcome.get().result() == Result.NOT_RUN ? 500 : processors.workUs() : leg.giveUpUs() + 60_000;
+                var outcome = processors.run(attempt, nowUs);
+                var waitUs = outcome.isPresent() ? outcome.get().result() == Result.NOT_RUN ? 500 : processors.workUs() : attempt.giveUpUs() + 60_000;
                 at(nowUs + waitUs, () -> host.awake(life, () -> done.accept(outcome.orElse(new Outcome(Result.UNKNOWN, "", "")))));
             });
         }
@@ -507,8 +507,8 @@
     }
 
     private final Shape shape;
-    private final Random luck;
-    private final Random mischief;
+    private final Random random;
+    private final Random faults;
     private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.atUs() != b.atUs() ? Long.compare(a.atUs(), b.atUs()) : Long.compare(a.turn(), b.turn()));
     private final Map<String, Host> hosts = new LinkedHashMap<>();
     private final Map<String, Long> linkFreeUs = new HashMap<>();
@@ -523,7 +523,7 @@
     private final Map<String, Long> crossByKind = new java.util.TreeMap<>();
     private final Map<String, long[]> traffic = new java.util.TreeMap<>();
     private long syncs;
-    private final List<Long> keeperEndsUs = new ArrayList<>();
+    private final List<Long> storageEndsUs = new ArrayList<>();
 
     private boolean watch = true;
 
@@ -539,21 +539,21 @@
 
     public World(Shape shape, long seed, Processors processors) {
         this.shape = shape;
-        this.luck = new Random(seed);
-        this.mischief = new Random(seed ^ 0x5eed_d15cL);
+        this.random = new Random(seed);
+        this.faults = new Random(seed ^ 0x5eed_d15cL);
         this.processors = processors;
-        for (var index = 0; index < shape.pilots(); index++) {
-            add("core-" + (index + 1), "pilot", nextIp(), shape.zones().get(index % shape.zones().size()));
+        for (var index = 0; index < shape.controlNodes(); index++) {
+            add("core-" + (index + 1), "control", nextIp(), shape.zones().get(index % shape.zones().size()));
         }
-        for (var index = 0; index < shape.keepers(); index++) {
-            add("storage-" + (index + 1), "keeper", nextIp(), shape.zones().get(index % shape.zones().size()));
+        for (var index = 0; index < shape.storageNodes(); index++) {
+            add("storage-" + (index + 1), "storage", nextIp(), shape.zones().get(index % shape.zones().size()));
         }
         for (var zone : shape.zones()) {
-            for (var index = 0; index < shape.galleriesPerZone(); index++) {
-                add("edge-" + zone + "-" + (index + 1), "gallery", nextIp(), zone);
+            for (var index = 0; index < shape.edgesPerZone(); index++) {
+                add("edge-" + zone + "-" + (index + 1), "edge", nextIp(), zone);
             }
         }
-        hosts.values().forEach(host -> at(nowUs + 1 + luck.nextInt(400_000), host::start));
+        hosts.values().forEach(host -> at(nowUs + 1 + random.nextInt(400_000), host::start));
     }
 
     private String nextIp() {
@@ -565,19 +565,19 @@
         hosts.put(ip, new Host(name, role, ip, zone));
     }
 
-    private Options options(Host host) {
-        var seeds = hosts.values().stream().filter(each -> each.role.equals("pilot")).limit(3).map(each -> "\"" + each.ip + ":8741\"").toList();
+    private NodeOptions options(Host host) {
+        var seeds = hosts.values().stream().filter(each -> each.role.equals("control")).limit(3).map(each -> "\"" + each.ip + ":8741\"").toList();
         try {
-            return Options.read("{\"NodeName\":\"" + host.name + "\",\"Ip\":\"" + host.ip + "\",\"Zone\":\"" + host.zone + "\",\"ListenOn\":{\"Control\":\"" + host.ip + ":8741\"},"
+            return NodeOptions.read("{\"NodeName\":\"" + host.name + "\",\"Ip\":\"" + host.ip + "\",\"Zone\":\"" + host.zone + "\",\"ListenOn\":{\"Control\":\"" + host.ip + ":8741\"},"
                 + "\"InternalPorts\":[7100,7115],\"SeedNodes\":" + seeds + ",\"FirstBoot\":" + host.firstBoot + ",\"Survive\":{\"Machines\":" + shape.survive() + "},\"Watch\":{\"Enabled\":" + watch + "},\"History\":{\"Enabled\":" + history + ",\"IntervalS\":5,\"FlushS\":1},\"Admission\":{\"SyncEveryMs\":" + shape.syncEveryUs() / 1000 + "}}");
-        } catch (Options.Unusable e) {
+        } catch (NodeOptions.Unusable e) {
             throw new IllegalStateException(e);
         }
     }
 
     private long delayUs(String from, String to) {
         var baseUs = from.equals(to) ? shape.inZoneUs() : shape.crossZoneUs();
-        return baseUs + luck.nextInt((int) Math.max(1, baseUs / 4)) + (luck.nextInt(400) == 0 ? luck.nextInt(30_000) : 0);
+        return baseUs + random.nextInt((int) Math.max(1, baseUs / 4)) + (random.nextInt(400) == 0 ? random.nextInt(30_000) : 0);
     }
 
     public void at(long atUs, Runnable task) {
@@ -607,16 +607,16 @@
         nowUs = untilUs;
     }
 
-    public boolean keeperEndedWithin(long fromUs, long spanUs) {
-        return keeperEndsUs.stream().anyMatch(atUs -> atUs >= fromUs && atUs - fromUs <= spanUs);
+    public boolean storageEndedWithin(long fromUs, long spanUs) {
+        return storageEndsUs.stream().anyMatch(atUs -> atUs >= fromUs && atUs - fromUs <= spanUs);
     }
 
     public long nowUs() {
         return nowUs;
     }
 
-    public Random luck() {
-        return luck;
+    public Random random() {
+        return random;
     }
 
     public long crossBytes() {
@@ -660,7 +660,7 @@
     }
 
     public Optional<Host> leader() {
-        return upHosts("pilot").stream().filter(host -> host.pilot().raft().leadsFreshly()).findFirst();
+        return upHosts("control").stream().filter(host -> host.control().raft().leadsFreshly()).findFirst();
     }
 
     public void kill(Host host) {
@@ -681,13 +681,13 @@
         host.end();
         host.powered = false;
         host.disk.losePower();
-        host.disk.files.forEach((name, file) -> diskEar.kept(host, name, true, file.synced.toByteArray()));
+        host.disk.files.forEach((name, file) -> diskListener.kept(host, name, true, file.synced.toByteArray()));
         after(darkUs, () -> restart(host));
     }
 
     public void wipe(Host host, long darkUs) {
         powerOff(host, darkUs);
-        host.disk.files.keySet().forEach(name -> diskEar.kept(host, name, true, new byte[0]));
+        host.disk.files.keySet().forEach(name -> diskListener.kept(host, name, true, new byte[0]));
         host.disk.files.clear();
     }
 
@@ -701,8 +701,8 @@
             return;
         }
         var life = host.life;
-        host.keeper.ifPresent(KeeperNode::leave);
-        host.gallery.ifPresent(GalleryNode::leave);
+        host.storage.ifPresent(StorageNode::leave);
+        host.edge.ifPresent(EdgeNode::leave);
         awaitLeave(host, life, nowUs + GRACE_US);
     }
 
@@ -711,9 +711,9 @@
             if (!host.up || host.life != life) {
                 return;
             }
-            var may = host.keeper.map(KeeperNode::mayLeave).orElse(true) && host.pilot.map(pilot -> pilot.raft().leave()).orElse(true);
+            var may = host.storage.map(StorageNode::mayLeave).orElse(true) && host.control.map(control -> control.raft().leave()).orElse(true);
             if (may || nowUs > lastUs) {
-                after(host.pilot.isPresent() ? 150_000 : 1_000, () -> kill(host));
+                after(host.control.isPresent() ? 150_000 : 1_000, () -> kill(host));
             } else {
                 awaitLeave(host, life, lastUs);
             }
@@ -777,10 +777,10 @@
         var ask = new Ask(host, method, target, headers, body, done);
         openPulls.add(ask);
         var life = host.life;
-        after(300, () -> host.awake(life, () -> host.gallery().onExchange(ask)));
+        after(300, () -> host.awake(life, () -> host.edge().onExchange(ask)));
     }
 
-    public void configure(byte[] config, long base, Consumer<PilotNode.Reply> done) {
-        leader().ifPresentOrElse(host -> host.pilot().replace(config, Optional.of(base), reply -> at(nowUs, () -> done.accept(reply))), () -> after(100_000, () -> configure(config, base, done)));
+    public void configure(byte[] config, long base, Consumer<ControlNode.Reply> done) {
+        leader().ifPresentOrElse(host -> host.control().replace(config, Optional.of(base), reply -> at(nowUs, () -> done.accept(reply))), () -> after(100_000, () -> configure(config, base, done)));
     }
 }
--- a/src/main/java/wellwheel/lantern/Disk.java
+++ b/src/main/java/wellwheel/storage/Disk.java
@@ -1,4 +1,4 @@
-package wellwheel.lantern;
+package wellwheel.storage;
 
 public interface Disk {
     byte[] load(String name);
--- a/src/main/java/wellwheel/lantern/FileDisk.java
+++ b/src/main/java/wellwheel/storage/FileDisk.java
@@ -1,5 +1,6 @@
-package wellwheel.lantern;
+package wellwheel.storage;
 
+import wellwheel.runtime.LoopClock;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.io.UncheckedIOException;
--- a/src/main/java/wellwheel/lantern/Journal.java
+++ b/src/main/java/wellwheel/storage/Journal.java
@@ -1,5 +1,6 @@
-package wellwheel.lantern;
+package wellwheel.storage;
 
+import wellwheel.runtime.ResultCode;
 import java.io.ByteArrayOutputStream;
 import java.util.Arrays;
 import java.util.List;
@@ -11,14 +12,14 @@
     public record Replay(int records, boolean cut, boolean syncedDamaged) { }
 
     public static final class Unreadable extends RuntimeException {
-        private final Codes code;
+        private final ResultCode code;
 
-        Unreadable(Codes code, String why) {
+        Unreadable(ResultCode code, String why) {
             super(why);
             this.code = code;
         }
 
-        public Codes code() {
+        public ResultCode code() {
             return code;
         }
     }
@@ -51,14 +52,14 @@
         var found = new JournalReader(whole, name, owner);
         lost = found.cut() && found.syncedDamaged();
         if (lost) {
-            LOG.log(System.Logger.Level.ERROR, "code=" + Codes.JOURNAL_DAMAGED.number() + " " + name + " is damaged at byte " + found.soundEnd() + " of " + whole.length + " in what had been synced; the disk counts as lost");
+            LOG.log(System.Logger.Level.ERROR, "code=" + ResultCode.JOURNAL_DAMAGED.number() + " " + name + " is damaged at byte " + found.soundEnd() + " of " + whole.length + " in what had been synced; the disk counts as lost");
             return new Replay(0, true, true);
         }
         found.each(reader);
         bytesLong = found.soundEnd();
         formatted = found.formatted();
         if (found.cut()) {
-            LOG.log(System.Logger.Level.WARNING, "code=" + Codes.JOURNAL_CUT.number() + " journal " + name + " cut at byte " + bytesLong + " of " + whole.length);
+            LOG.log(System.Logger.Level.WARNING, "code=" + ResultCode.JOURNAL_CUT.number() + " journal " + name + " cut at byte " + bytesLong + " of " + whole.length);
             replace(Arrays.copyOf(whole, found.soundEnd()), () -> { });
         }
         return new Replay(found.records(), found.cut(), false);
--- a/src/main/java/wellwheel/lantern/JournalReader.java
+++ b/src/main/java/wellwheel/storage/JournalReader.java
@@ -1,12 +1,13 @@
-package wellwheel.lantern;
+package wellwheel.storage;
 
+import wellwheel.runtime.ResultCode;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.function.Consumer;
 import java.util.zip.CRC32;
 
-final class JournalReader {
+public final class JournalReader {
     static final int VERSION = 2;
     private static final byte MARK = (byte) 0xC1;
     private static final int PLAIN_HEAD = 8;
@@ -49,7 +50,7 @@
         return plain(ByteBuffer.allocate(2 + text.length).put(MARK).put((byte) VERSION).put(text).array());
     }
 
-    static byte[] plain(byte[] record) {
+    public static byte[] plain(byte[] record) {
         return ByteBuffer.allocate(PLAIN_HEAD + record.length).putInt(record.length).putInt(sumOf(record, 0, 0, record, 0, record.length)).put(record).array();
     }
 
@@ -154,11 +155,11 @@
     private void checkFormat() {
         var version = length > 1 ? bytes[body + 1] : 0;
         if (version != VERSION) {
-            throw new Journal.Unreadable(Codes.BAD_STATE, name + " is of version " + version + ", this program reads up to " + VERSION);
+            throw new Journal.Unreadable(ResultCode.BAD_STATE, name + " is of version " + version + ", this program reads up to " + VERSION);
         }
         var found = new String(bytes, body + 2, length - 2, StandardCharsets.UTF_8);
         if (!found.isEmpty() && !owner.isEmpty() && !found.equals(owner)) {
-            throw new Journal.Unreadable(Codes.JOURNAL_FOREIGN, name + " was written by " + found + ", this is " + owner + "; move it away");
+            throw new Journal.Unreadable(ResultCode.JOURNAL_FOREIGN, name + " was written by " + found + ", this is " + owner + "; move it away");
         }
     }
 
--- a/src/main/java/wellwheel/lantern/Exchange.java
+++ b/src/main/java/wellwheel/transport/Exchange.java
@@ -1,5 +1,6 @@
-package wellwheel.lantern;
+package wellwheel.transport;
 
+import wellwheel.runtime.ResultCode;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
@@ -19,15 +20,15 @@
 
     void onClose(Runnable task);
 
-    record Answer(Codes code, List<String> headers, String contentType, byte[] body, boolean close) {
-        public static Answer of(Codes code, String... headers) {
+    record Answer(ResultCode code, List<String> headers, String contentType, byte[] body, boolean close) {
+        public static Answer of(ResultCode code, String... headers) {
             if (code.status() < 300) {
                 return new Answer(code, List.of(headers), "application/json", new byte[0], false);
             }
             return new Answer(code, List.of(headers), "application/json", ("{\"Code\":" + code.number() + ",\"Error\":\"" + code.meaning() + "\"}").getBytes(StandardCharsets.UTF_8), false);
         }
 
-        public static Answer later(Codes code, long waitS) {
+        public static Answer later(ResultCode code, long waitS) {
             return of(code, "Retry-After", Long.toString(waitS));
         }
 
--- a/src/main/java/wellwheel/lantern/Frame.java
+++ b/src/main/java/wellwheel/transport/Frame.java
@@ -1,4 +1,4 @@
-package wellwheel.lantern;
+package wellwheel.transport;
 
 import java.io.IOException;
 import java.util.ArrayList;
--- a/src/main/java/wellwheel/lantern/Door.java
+++ b/src/main/java/wellwheel/transport/HttpServer.java
@@ -1,5 +1,9 @@
-package wellwheel.lantern;
+package wellwheel.transport;
 
+import wellwheel.config.Configuration;
+import wellwheel.config.NodeOptions;
+import wellwheel.runtime.LoopClock;
+import wellwheel.runtime.ResultCode;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -36,18 +40,18 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
-public final class Door {
+public final class HttpServer {
     private static final int PIPELINE_MOST = 16;
     private static final long WATCH_US = 500_000;
     private final EventLoop loop;
     private final LoopClock clock;
-    private final Supplier<Charter.Caps> caps;
+    private final Supplier<Configuration.Caps> caps;
     private final Consumer<Exchange> handler;
     private final int connectionsMost;
     private final Set<Handler> open = new HashSet<>();
     private boolean draining;
 
-    public Door(EventLoop loop, LoopClock clock, Supplier<Charter.Caps> caps, int connectionsMost, Consumer<Exchange> handler) {
+    public HttpServer(EventLoop loop, LoopClock clock, Supplier<Configuration.Caps> caps, int connectionsMost, Consumer<Exchange> handler) {
         this.loop = loop;
         this.clock = clock;
         this.caps = caps;
@@ -70,7 +74,7 @@
                     var handler = new Handler(channel);
                     channel.pipeline().addLast(new ByteWatch(handler), new StrictDecoder(config), new HttpResponseEncoder(), handler);
                 }
-            }).bind(Options.hostOf(address), Options.portOf(address)).sync();
+            }).bind(NodeOptions.hostOf(address), NodeOptions.portOf(address)).sync();
     }
 
     public void watch() {
@@ -151,15 +155,15 @@
         private void takeHead(HttpRequest request) {
             if (request.decoderResult().isFailure()) {
                 var cause = request.decoderResult().cause();
-                breakOff(cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException ? Codes.HEAD_TOO_LARGE : Codes.BAD_REQUEST);
+                breakOff(cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException ? ResultCode.HEAD_TOO_LARGE : ResultCode.BAD_REQUEST);
                 return;
             }
             if (!sound(request)) {
-                breakOff(Codes.BAD_REQUEST);
+                breakOff(ResultCode.BAD_REQUEST);
                 return;
             }
             if (HttpUtil.isContentLengthSet(request) && HttpUtil.getContentLength(request) > caps.get().bodyBytes()) {
-                breakOff(Codes.TOO_LARGE);
+                breakOff(ResultCode.TOO_LARGE);
                 return;
             }
             head = Optional.of(request);
@@ -180,7 +184,7 @@
 
         private void takeBody(HttpContent content) {
             if (content.decoderResult().isFailure()) {
-                breakOff(Codes.BAD_REQUEST);
+                breakOff(ResultCode.BAD_REQUEST);
                 return;
             }
             if (head.isEmpty()) {
@@ -188,7 +192,7 @@
             }
             var bytes = content.content();
             if (body.size() + bytes.readableBytes() > caps.get().bodyBytes()) {
-                breakOff(Codes.TOO_LARGE);
+                breakOff(ResultCode.TOO_LARGE);
                 return;
             }
             var chunk = new byte[bytes.readableBytes()];
@@ -203,7 +207,7 @@
 
         private void enqueue(Request request) {
             if (waiting.size() >= PIPELINE_MOST) {
-                breakOff(Codes.BAD_REQUEST);
+                breakOff(ResultCode.BAD_REQUEST);
                 return;
             }
             waiting.add(request);
@@ -218,7 +222,7 @@
             }
         }
 
-        private void breakOff(Codes code) {
+        private void breakOff(ResultCode code) {
             broken = true;
             waiting.clear();
             if (busy.isEmpty()) {
@@ -267,7 +271,7 @@
                 return;
             }
             if (head.isPresent() ? nowUs - touchedUs > caps.get().idleUs() : headBegun && nowUs - headSinceUs > caps.get().headerWaitUs()) {
-                breakOff(Codes.SLOW_HEAD);
+                breakOff(ResultCode.SLOW_HEAD);
             } else if (head.isEmpty() && nowUs - touchedUs > caps.get().idleUs()) {
                 channel.close();
             }
--- a/src/main/java/wellwheel/lantern/Links.java
+++ b/src/main/java/wellwheel/transport/Links.java
@@ -1,5 +1,6 @@
-package wellwheel.lantern;
+package wellwheel.transport;
 
+import wellwheel.runtime.LoopClock;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -22,7 +23,7 @@
 import java.util.Map;
 import java.util.Optional;
 
-public final class Links implements Wire {
+public final class Links implements Network {
     private static final System.Logger LOG = System.getLogger("links");
     private static final int PROTOCOL = 1;
     private static final int FRAME_MOST = 64 << 20;
@@ -68,7 +69,7 @@
     private boolean flushing;
     private long life;
     private long connections;
-    private Ear ear = new Ear() {
+    private MessageHandler handler = new MessageHandler() {
         @Override
         public void onFrame(String peerIp, Frame frame) { }
 
@@ -84,8 +85,8 @@
         this.life = clock.wallUs();
     }
 
-    public void open(Ear newEar) throws InterruptedException {
-        ear = newEar;
+    public void open(MessageHandler newHandler) throws InterruptedException {
+        handler = newHandler;
         new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, 256).option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -117,7 +118,7 @@
             } else if (frame.kind().equals("ping")) {
                 context.writeAndFlush(framed(Frame.of("pong").pack()));
             } else {
-                LoopClock.guarded(() -> ear.onFrame(peer, frame));
+                LoopClock.guarded(() -> handler.onFrame(peer, frame));
             }
         }
 
@@ -183,7 +184,7 @@
                 link.active = false;
                 link.channel = null;
                 link.queuedBytes = 0;
-                LoopClock.guarded(() -> ear.onDown(link.ip));
+                LoopClock.guarded(() -> handler.onDown(link.ip));
             }
         }
 
@@ -204,14 +205,14 @@
         }
         var bytes = frame.pack();
         if (peerIp.equals(ip)) {
-            loop.execute(() -> LoopClock.guarded(() -> ear.onFrame(ip, Frame.unpack(bytes))));
+            loop.execute(() -> LoopClock.guarded(() -> handler.onFrame(ip, Frame.unpack(bytes))));
             return;
         }
         var link = links.computeIfAbsent(peerIp, Link::new);
         if (link.active) {
             write(link, frame, bytes);
         } else if (clock.steadyUs() < link.restUntilUs || link.queuedBytes > QUEUED_BYTES_MOST) {
-            loop.execute(() -> LoopClock.guarded(() -> ear.onUnsent(peerIp, frame)));
+            loop.execute(() -> LoopClock.guarded(() -> handler.onUnsent(peerIp, frame)));
         } else {
             link.queue.add(new Queued(frame, bytes));
             link.queuedBytes += bytes.length;
@@ -221,7 +222,7 @@
 
     private void write(Link link, Frame frame, byte[] bytes) {
         if (link.channel.unsafe().outboundBuffer() != null && link.channel.unsafe().outboundBuffer().totalPendingWriteBytes() > QUEUED_BYTES_MOST) {
-            loop.execute(() -> LoopClock.guarded(() -> ear.onUnsent(link.ip, frame)));
+            loop.execute(() -> LoopClock.guarded(() -> handler.onUnsent(link.ip, frame)));
             return;
         }
         link.channel.write(framed(bytes), link.channel.voidPromise());
@@ -264,8 +265,8 @@
         link.queuedBytes = 0;
         if (!future.isSuccess()) {
             link.restUntilUs = clock.steadyUs() + REST_US;
-            LoopClock.guarded(() -> ear.onDown(link.ip));
-            queued.forEach(each -> LoopClock.guarded(() -> ear.onUnsent(link.ip, each.frame())));
+            LoopClock.guarded(() -> handler.onDown(link.ip));
+            queued.forEach(each -> LoopClock.guarded(() -> handler.onUnsent(link.ip, each.frame())));
             return;
         }
         link.channel = future.channel();
--- a/src/main/java/wellwheel/lantern/Wire.java
+++ b/src/main/java/wellwheel/transport/Network.java
@@ -1,9 +1,9 @@
-package wellwheel.lantern;
+package wellwheel.transport;
 
-public interface Wire {
+public interface Network {
     void send(String peerIp, Frame frame);
 
-    interface Ear {
+    interface MessageHandler {
         void onFrame(String peerIp, Frame frame);
 
         void onDown(String peerIp);
--- a/src/main/java/wellwheel/lantern/Caller.java
+++ b/src/main/java/wellwheel/transport/PooledHttpClient.java
@@ -1,5 +1,8 @@
-package wellwheel.lantern;
+package wellwheel.transport;
 
+import wellwheel.config.NodeOptions;
+import wellwheel.runtime.Clock;
+import wellwheel.runtime.LoopClock;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -34,7 +37,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
-public final class Caller {
+public final class PooledHttpClient {
     private static final int ANSWER_MOST = 8 << 20;
     private static final int WAITING_MOST = 4096;
     private static final long IDLE_US = 4_000_000;
@@ -319,7 +322,7 @@
                         connection.channel = channel;
                         channel.pipeline().addLast(new HttpRequestEncoder(), new ResponseDecoder(connection), new HttpObjectAggregator(ANSWER_MOST), connection);
                     }
-                }).connect(Options.hostOf(address), Options.portOf(address)).addListener((io.netty.channel.ChannelFuture future) -> connected(connection, future.isSuccess()));
+                }).connect(NodeOptions.hostOf(address), NodeOptions.portOf(address)).addListener((io.netty.channel.ChannelFuture future) -> connected(connection, future.isSuccess()));
         }
 
         private void connected(Connection connection, boolean success) {
@@ -343,7 +346,7 @@
     private final LoopClock clock;
     private final Map<String, Pool> pools = new HashMap<>();
 
-    public Caller(EventLoop loop, LoopClock clock) {
+    public PooledHttpClient(EventLoop loop, LoopClock clock) {
         this.loop = loop;
         this.clock = clock;
     }
--- a/src/test/java/wellwheel/tender/HistoryCallsTest.java
+++ b/src/test/java/wellwheel/cli/HistoryCommandsTest.java
@@ -1,4 +1,4 @@
-package wellwheel.tender;
+package wellwheel.cli;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-class HistoryCallsTest {
+class HistoryCommandsTest {
     private static final long HOUR_US = 3_600_000_000L;
 
     @TempDir
@@ -20,7 +20,7 @@
     private final StringWriter err = new StringWriter();
 
     private int tender(String... words) {
-        return Tender.line(new PrintWriter(out, true), new PrintWriter(err, true)).execute(words);
+        return WellwheelCtl.line(new PrintWriter(out, true), new PrintWriter(err, true)).execute(words);
     }
 
     private Path history(int hours) throws IOException {
@@ -71,14 +71,14 @@
     @Test
     void badQuestionsGetOneClearLine() throws IOException {
         var file = history(24 * 5).toString();
-        assertThat(tender("forecast", "--file", file, "--service", "nobody")).isEqualTo(Tender.UNKNOWN);
-        assertThat(tender("history", "--file", file, "--tenant", "nobody")).isEqualTo(Tender.UNKNOWN);
-        assertThat(tender("forecast", "--file", file, "--horizon", "0")).isEqualTo(Tender.USAGE);
-        assertThat(tender("history", "--last", "soon")).isEqualTo(Tender.USAGE);
-        assertThat(tender("history", "--from", "2026-12-02T00:00:00Z", "--to", "2026-12-01T00:00:00Z")).isEqualTo(Tender.USAGE);
-        assertThat(tender("forecast", "--file", history(30).toString())).isEqualTo(Tender.REFUSED);
-        assertThat(tender("forecast", "--file", Files.writeString(home.resolve("x"), "{}").toString())).isEqualTo(Tender.REFUSED);
-        assertThat(err.toString().lines().filter(line -> line.startsWith("tender: ")).count()).isEqualTo(7);
+        assertThat(tender("forecast", "--file", file, "--service", "nobody")).isEqualTo(WellwheelCtl.UNKNOWN);
+        assertThat(tender("history", "--file", file, "--tenant", "nobody")).isEqualTo(WellwheelCtl.UNKNOWN);
+        assertThat(tender("forecast", "--file", file, "--horizon", "0")).isEqualTo(WellwheelCtl.USAGE);
+        assertThat(tender("history", "--last", "soon")).isEqualTo(WellwheelCtl.USAGE);
+        assertThat(tender("history", "--from", "2026-12-02T00:00:00Z", "--to", "2026-12-01T00:00:00Z")).isEqualTo(WellwheelCtl.USAGE);
+        assertThat(tender("forecast", "--file", history(30).toString())).isEqualTo(WellwheelCtl.REFUSED);
+        assertThat(tender("forecast", "--file", Files.writeString(home.resolve("x"), "{}").toString())).isEqualTo(WellwheelCtl.REFUSED);
+        assertThat(err.toString().lines().filter(line -> line.startsWith("wellwheelctl: ")).count()).isEqualTo(7);
         assertThat(err.toString()).doesNotContain("\tat ");
     }
 }
--- a/src/test/java/wellwheel/tender/ProcessesTest.java
+++ b/src/test/java/wellwheel/cli/ProcessesTest.java
@@ -1,4 +1,4 @@
-package wellwheel.tender;
+package wellwheel.cli;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -119,7 +119,7 @@
         if (!all.contains("--control")) {
             all.addAll(List.of("--control", "127.0.0.9:" + control + ",127.0.0.1:" + control));
         }
-        var status = Tender.line(new PrintWriter(out, true), new PrintWriter(err, true)).execute(all.toArray(String[]::new));
+        var status = WellwheelCtl.line(new PrintWriter(out, true), new PrintWriter(err, true)).execute(all.toArray(String[]::new));
         assertWithMessage("%s: %s%s", all, out, err).that(status).isEqualTo(wanted);
         assertThat(err.toString()).doesNotContain("\tat ");
         return out + err.toString();
@@ -135,7 +135,7 @@
     }
 
     private String state(String id) {
-        return tender(0, "message", "state", id, "--gallery", "127.0.0.4:" + front, "--host", "wheel.example", "--key", "try-me", "--json");
+        return tender(0, "message", "state", id, "--edge", "127.0.0.4:" + front, "--host", "wheel.example", "--key", "try-me", "--json");
     }
 
     private void start() throws IOException {
@@ -144,10 +144,10 @@
         control = freePort();
         front = freePort();
         platform = serve(exchange -> reply(exchange, 200, "", "{\"Servers\":[" + listed + "],\"NextToken\":null}"));
-        launch("pilot-1", "127.0.0.1", "wellwheel.pilot.Pilot");
-        launch("keeper-1", "127.0.0.2", "wellwheel.lighthouse.Lighthouse", "keeper");
-        launch("keeper-2", "127.0.0.3", "wellwheel.lighthouse.Lighthouse", "keeper");
-        launch("gallery-1", "127.0.0.4", "wellwheel.lighthouse.Lighthouse", "gallery");
+        launch("control-1", "127.0.0.1", "wellwheel.control.ControlDaemon");
+        launch("storage-1", "127.0.0.2", "wellwheel.Main", "storage");
+        launch("storage-2", "127.0.0.3", "wellwheel.Main", "storage");
+        launch("edge-1", "127.0.0.4", "wellwheel.Main", "edge");
     }
 
     private Path config(int revision) throws IOException {
@@ -157,18 +157,18 @@
     @Test
     void aFirstHandInAndTheOperatorsCalls() throws Exception {
         start();
-        assertThat(tender(Tender.FINE, "config", "validate", config(1).toString())).contains("valid");
+        assertThat(tender(WellwheelCtl.FINE, "config", "validate", config(1).toString())).contains("valid");
         var bad = Files.writeString(home.resolve("bad.json"), String.format(CONFIG, 1).replace("\"Backend\":\"pulled\"", "\"Backend\":\"nobody\"").replace("\"MaxConns\":40", "\"MaxConns\":0"));
-        assertThat(tender(Tender.INVALID, "config", "validate", bad.toString())).contains("/Routing/1/Backend");
-        assertThat(tender(Tender.INVALID, "config", "validate", bad.toString())).contains("/Backends/1/MaxConns");
-        assertThat(tender(Tender.INVALID, "config", "validate", home.resolve("none").toString())).contains("cannot read");
-        assertThat(tender(Tender.FINE, "config", "put", config(1).toString(), "--based-on", "0", "--wait-s", "30")).contains("in force");
-        tender(Tender.LOST_RACE, "config", "put", config(2).toString(), "--based-on", "7");
-        assertThat(tender(Tender.FINE, "config", "diff", config(2).toString())).contains("~ /Revision 1 -> 2");
+        assertThat(tender(WellwheelCtl.INVALID, "config", "validate", bad.toString())).contains("/Routing/1/Backend");
+        assertThat(tender(WellwheelCtl.INVALID, "config", "validate", bad.toString())).contains("/Backends/1/MaxConns");
+        assertThat(tender(WellwheelCtl.INVALID, "config", "validate", home.resolve("none").toString())).contains("cannot read");
+        assertThat(tender(WellwheelCtl.FINE, "config", "put", config(1).toString(), "--based-on", "0", "--wait-s", "30")).contains("in force");
+        tender(WellwheelCtl.LOST_RACE, "config", "put", config(2).toString(), "--based-on", "7");
+        assertThat(tender(WellwheelCtl.FINE, "config", "diff", config(2).toString())).contains("~ /Revision 1 -> 2");
         handIn("/pulled/1", "first-1");
         assertThat(state("first-1")).contains("waiting");
         Failsafe.with(SOON).run(() -> assertThat(ask("POST", "/pulled/2", "body of next-1", "Host", "wheel.example", "Authorization", "Bearer try-me", "Attempt-Id", "next-1", "Runs-After", "first-1").statusCode()).isEqualTo(202));
-        assertThat(tender(Tender.FINE, "steps", "first-1")).contains("Runs-After");
+        assertThat(tender(WellwheelCtl.FINE, "steps", "first-1")).contains("Runs-After");
         var job = Failsafe.with(SOON).get(() -> {
             var found = ask("POST", "/pull/pulled", "", "Server-Id", "me", "Wait-Ms", "1000");
             assertThat(found.statusCode()).isEqualTo(200);
@@ -183,21 +183,21 @@
             return found;
         });
         assertThat(next.body()).isEqualTo("body of next-1");
-        assertThat(tender(Tender.FINE, "steps", "next-1")).contains("runs at me");
-        assertThat(tender(Tender.FINE, "steps", "--failed")).contains("none");
-        tender(Tender.UNKNOWN, "steps", "0-nobody", "--release");
-        tender(Tender.UNKNOWN, "steps", "nobody");
-        tender(Tender.USAGE, "steps");
-        assertThat(tender(Tender.FINE, "nodes")).contains("keeper-2");
-        assertThat(tender(Tender.FINE, "lines", "--json")).contains("\"Missing\": 0");
-        assertThat(tender(Tender.FINE, "warnings")).contains("none");
-        assertThat(tender(Tender.FINE, "codes")).contains("3000");
-        assertThat(tender(Tender.REFUSED, "retire", "start", "keeper-1", "--over", "5")).contains("too few");
-        tender(Tender.UNKNOWN, "retire", "status", "nobody");
-        tender(Tender.UNKNOWN, "shift", "status", "pulled");
-        tender(Tender.UNREACHABLE, "nodes", "--wait-s", "1", "--control", "127.0.0.9:" + control);
-        tender(Tender.USAGE, "nodes", "--control", "nonsense");
-        tender(Tender.USAGE, "shift");
+        assertThat(tender(WellwheelCtl.FINE, "steps", "next-1")).contains("runs at me");
+        assertThat(tender(WellwheelCtl.FINE, "steps", "--failed")).contains("none");
+        tender(WellwheelCtl.UNKNOWN, "steps", "0-nobody", "--release");
+        tender(WellwheelCtl.UNKNOWN, "steps", "nobody");
+        tender(WellwheelCtl.USAGE, "steps");
+        assertThat(tender(WellwheelCtl.FINE, "nodes")).contains("storage-2");
+        assertThat(tender(WellwheelCtl.FINE, "partitions", "--json")).contains("\"Missing\": 0");
+        assertThat(tender(WellwheelCtl.FINE, "warnings")).contains("none");
+        assertThat(tender(WellwheelCtl.FINE, "codes")).contains("3000");
+        assertThat(tender(WellwheelCtl.REFUSED, "retire", "start", "storage-1", "--over", "5")).contains("too few");
+        tender(WellwheelCtl.UNKNOWN, "retire", "status", "nobody");
+        tender(WellwheelCtl.UNKNOWN, "rollout", "status", "pulled");
+        tender(WellwheelCtl.UNREACHABLE, "nodes", "--wait-s", "1", "--control", "127.0.0.9:" + control);
+        tender(WellwheelCtl.USAGE, "nodes", "--control", "nonsense");
+        tender(WellwheelCtl.USAGE, "rollout");
     }
 
     @Test
@@ -206,16 +206,16 @@
         var old = serve(exchange -> handle(exchange, true));
         var faulty = serve(exchange -> handle(exchange, false));
         listed = entry("p-1", old, "v1");
-        tender(Tender.FINE, "config", "put", config(1).toString(), "--based-on", "0", "--wait-s", "30");
+        tender(WellwheelCtl.FINE, "config", "put", config(1).toString(), "--based-on", "0", "--wait-s", "30");
         var policy = Files.writeString(home.resolve("policy.json"), "{\"Steps\":[50,100],\"LegsPerStep\":4,\"SecondsPerStep\":0.5,\"Tolerance\":0.2,\"LeastErrors\":2,\"Current\":\"v1\"}");
-        assertThat(tender(Tender.FINE, "shift", "set", "desk", policy.toString())).contains("Phase: idle");
+        assertThat(tender(WellwheelCtl.FINE, "rollout", "set", "desk", policy.toString())).contains("Phase: idle");
         listed += "," + entry("p-2", faulty, "v2");
-        Failsafe.with(SOON).run(() -> assertThat(tender(Tender.FINE, "shift", "status", "desk")).contains("Phase: shifting"));
+        Failsafe.with(SOON).run(() -> assertThat(tender(WellwheelCtl.FINE, "rollout", "status", "desk")).contains("Phase: shifting"));
         var handed = new ArrayList<String>();
         Failsafe.with(SOON).run(() -> {
             handed.add("m" + handed.size());
             handIn("/desk/" + handed.size() % 7, handed.get(handed.size() - 1));
-            assertThat(tender(Tender.FINE, "shift", "status", "desk")).contains("Reverted: v2");
+            assertThat(tender(WellwheelCtl.FINE, "rollout", "status", "desk")).contains("Reverted: v2");
         });
         handed.forEach(id -> Failsafe.with(SOON).run(() -> assertThat(state(id)).contains("seal-" + id)));
         assertThat(order).containsExactlyElementsIn(handed).inOrder();
--- a/src/test/java/wellwheel/tender/RefusedStartTest.java
+++ b/src/test/java/wellwheel/cli/RefusedStartTest.java
@@ -1,5 +1,8 @@
-package wellwheel.tender;
+package wellwheel.cli;
 
+import wellwheel.storage.Disk;
+import wellwheel.storage.Journal;
+import wellwheel.transport.Frame;
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
@@ -13,9 +16,6 @@
 import java.util.zip.CRC32;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import wellwheel.lantern.Disk;
-import wellwheel.lantern.Frame;
-import wellwheel.lantern.Journal;
 
 class RefusedStartTest {
     private static final int BAD_STATE = 79;
@@ -70,15 +70,15 @@
     }
 
     @Test
-    void anotherPilotsJournal() throws Exception {
+    void anotherControlNodesJournal() throws Exception {
         writtenBy("127.0.0.2", "pilot.journal");
-        refused("pilot.journal", "code=5008 pilot.journal was written by 127.0.0.2, this is 127.0.0.1; move it away", "wellwheel.pilot.Pilot");
+        refused("pilot.journal", "code=5008 pilot.journal was written by 127.0.0.2, this is 127.0.0.1; move it away", "wellwheel.control.ControlDaemon");
     }
 
     @Test
-    void anotherKeepersJournal() throws Exception {
+    void anotherStorageNodesJournal() throws Exception {
         writtenBy("you", "keeper.journal");
-        refused("keeper.journal", "code=5008 keeper.journal was written by you, this is me; move it away", "wellwheel.lighthouse.Lighthouse", "keeper");
+        refused("keeper.journal", "code=5008 keeper.journal was written by you, this is me; move it away", "wellwheel.Main", "storage");
     }
 
     @Test
@@ -88,6 +88,6 @@
         sum.update(body);
         var record = ByteBuffer.allocate(10).putInt(body.length).putInt((int) sum.getValue()).put(body).array();
         Files.write(home.resolve("keeper.journal"), record);
-        refused("keeper.journal", "code=5006 keeper.journal is of version 9, this program reads up to 2", "wellwheel.lighthouse.Lighthouse", "keeper");
+        refused("keeper.journal", "code=5006 keeper.journal is of version 9, this program reads up to 2", "wellwheel.Main", "storage");
     }
 }
--- a/src/test/java/wellwheel/lantern/CharterTest.java
+++ b/src/test/java/wellwheel/config/ConfigurationTest.java
@@ -1,4 +1,4 @@
-package wellwheel.lantern;
+package wellwheel.config;
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -8,25 +8,25 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-class CharterTest {
+class ConfigurationTest {
     private static final String GOOD = "{\"Revision\":7,\"Extra\":[1],\"Routing\":["
         + "{\"Name\":\"a\",\"Host\":\"Lode.example\",\"PathStart\":\"/v/\",\"Type\":\"background\",\"GiveUpMs\":1500,\"TargetMs\":100,\"Rank\":2,\"Backend\":\"s\",\"Tries\":3,\"InOrder\":false,\"KeepForS\":90.5,\"StartTargetMs\":500},"
         + "{\"Name\":\"b\",\"Host\":\"lode.example\",\"PathStart\":\"/v/w/\",\"Type\":\"background\",\"GiveUpMs\":500,\"TargetMs\":100,\"Rank\":1,\"Backend\":\"s\",\"Tries\":3,\"InOrder\":true,\"KeepForS\":90.0,\"StartTargetMs\":500}],"
         + "\"Backends\":[{\"Name\":\"s\",\"MaxConns\":110,\"RatePerS\":0.0,\"DropsRepeats\":false,\"WorkerPull\":true,\"Endpoint\":null}],"
         + "\"Customers\":[{\"Name\":\"t\",\"ApiKeys\":[\"k1\",\"k2\"],\"RatePerS\":90,\"Burst\":90},{\"Name\":\"u\",\"ApiKeys\":[\"k3\"],\"RatePerS\":9,\"Burst\":9}]}";
 
-    private static Charter read(String text) throws Charter.Invalid {
-        return Charter.read(text.getBytes(StandardCharsets.UTF_8));
+    private static Configuration read(String text) throws Configuration.Invalid {
+        return Configuration.read(text.getBytes(StandardCharsets.UTF_8));
     }
 
     @Test
-    void longestPrefixOfTheHostWins() throws Charter.Invalid {
-        var charter = read(GOOD);
-        assertThat(charter.path("lode.example:8080", "/v/w/1?x=/y").orElseThrow().name()).isEqualTo("b");
-        assertThat(charter.path("LODE.example", "/v/x").orElseThrow().name()).isEqualTo("a");
-        assertThat(charter.path("lode.example", "/w/")).isEqualTo(java.util.Optional.empty());
-        assertThat(charter.path("other.example", "/v/x")).isEqualTo(java.util.Optional.empty());
-        assertThat(charter.tenant("k2").orElseThrow().name()).isEqualTo("t");
+    void longestPrefixOfTheHostWins() throws Configuration.Invalid {
+        var configuration = read(GOOD);
+        assertThat(configuration.path("lode.example:8080", "/v/w/1?x=/y").orElseThrow().name()).isEqualTo("b");
+        assertThat(configuration.path("LODE.example", "/v/x").orElseThrow().name()).isEqualTo("a");
+        assertThat(configuration.path("lode.example", "/w/")).isEqualTo(java.util.Optional.empty());
+        assertThat(configuration.path("other.example", "/v/x")).isEqualTo(java.util.Optional.empty());
+        assertThat(configuration.tenant("k2").orElseThrow().name()).isEqualTo("t");
     }
 
     @ParameterizedTest
@@ -44,7 +44,7 @@
     void eachFaultIsRefusedWithItsPlace(String good, String bad, String place) {
         var broken = GOOD.replace(good, bad);
         assertThat(broken).isNotEqualTo(GOOD);
-        var refused = assertThrows(Charter.Invalid.class, () -> read(broken));
+        var refused = assertThrows(Configuration.Invalid.class, () -> read(broken));
         assertThat(refused).hasMessageThat().startsWith(place);
     }
 
@@ -52,10 +52,10 @@
     void noCutOfAGoodConfigurationIsTaken() {
         for (var length = 0; length < GOOD.length(); length++) {
             var cut = GOOD.substring(0, length);
-            assertThrows(Charter.Invalid.class, () -> read(cut));
+            assertThrows(Configuration.Invalid.class, () -> read(cut));
         }
-        assertThrows(Charter.Invalid.class, () -> read(GOOD + "x"));
-        assertThrows(Charter.Invalid.class, () -> read("[".repeat(20_000)));
-        assertThrows(Charter.Invalid.class, () -> Charter.read(new byte[] {'{', (byte) 0xff, '}'}));
+        assertThrows(Configuration.Invalid.class, () -> read(GOOD + "x"));
+        assertThrows(Configuration.Invalid.class, () -> read("[".repeat(20_000)));
+        assertThrows(Configuration.Invalid.class, () -> Configuration.read(new byte[] {'{', (byte) 0xff, '}'}));
     }
 }
--- a/src/test/java/wellwheel/pilot/ChunksTest.java
+++ b/src/test/java/wellwheel/consensus/ChunksTest.java
@@ -1,5 +1,6 @@
-package wellwheel.pilot;
+package wellwheel.consensus;
 
+import wellwheel.transport.Frame;
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.ArrayList;
@@ -9,49 +10,48 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import wellwheel.lantern.Frame;
 
 class ChunksTest {
-    private static byte[] bytes(Random luck, int length) {
+    private static byte[] bytes(Random random, int length) {
         var bytes = new byte[length];
-        luck.nextBytes(bytes);
+        random.nextBytes(bytes);
         return bytes;
     }
 
     private static final class Road {
-        final Random luck;
+        final Random random;
         final List<Frame> there = new ArrayList<>();
         ChunkReceiver receiver = new ChunkReceiver();
         long sentBytes;
         int starts;
 
         Road(long seed) {
-            luck = new Random(seed);
+            random = new Random(seed);
         }
 
         void put(Frame chunk) {
             assertThat(there.size()).isAtMost(2 * ChunkSender.WINDOW / ChunkSender.CHUNK + 8);
             sentBytes += chunk.bytes("bytes").length;
             there.add(Frame.unpack(chunk.with("term", 3L).pack()));
-            if (luck.nextInt(10) == 0) {
+            if (random.nextInt(10) == 0) {
                 there.add(chunk);
             }
         }
 
         Optional<byte[]> turn(ChunkSender sender) {
-            if (luck.nextInt(60) == 0) {
+            if (random.nextInt(60) == 0) {
                 receiver = new ChunkReceiver();
                 starts++;
             }
-            if (there.isEmpty() || luck.nextInt(40) == 0) {
+            if (there.isEmpty() || random.nextInt(40) == 0) {
                 there.clear();
                 sender.rewind();
                 sender.pump(this::put);
                 return Optional.empty();
             }
-            var chunk = there.remove(luck.nextInt(5) == 0 ? luck.nextInt(there.size()) : 0);
+            var chunk = there.remove(random.nextInt(5) == 0 ? random.nextInt(there.size()) : 0);
             var taken = receiver.take("10.0.0.1", chunk);
-            if (taken.answers() && luck.nextInt(20) > 0) {
+            if (taken.answers() && random.nextInt(20) > 0) {
                 sender.acknowledged(taken.have());
                 sender.pump(this::put);
             }
@@ -63,7 +63,7 @@
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void aPayloadArrivesWholeOverAnyRoad(long seed) {
         var road = new Road(seed);
-        var payload = bytes(road.luck, 1 + road.luck.nextInt(40 * ChunkSender.CHUNK));
+        var payload = bytes(road.random, 1 + road.random.nextInt(40 * ChunkSender.CHUNK));
         var sender = new ChunkSender(7, payload);
         sender.pump(road::put);
         var got = Optional.<byte[]>empty();
--- a/src/test/java/wellwheel/pilot/RaftJournalTest.java
+++ b/src/test/java/wellwheel/consensus/RaftJournalTest.java
@@ -1,5 +1,8 @@
-package wellwheel.pilot;
+package wellwheel.consensus;
 
+import wellwheel.runtime.Clock;
+import wellwheel.storage.MemoryDisk;
+import wellwheel.transport.Frame;
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
@@ -10,9 +13,6 @@
 import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
-import wellwheel.lantern.Clock;
-import wellwheel.lantern.Frame;
-import wellwheel.lantern.MemoryDisk;
 
 class RaftJournalTest {
     private static final List<String> SEEDS = List.of("10.0.0.1", "10.0.0.2", "10.0.0.3");
@@ -76,11 +76,11 @@
     }
 
     private Map<Long, String> grown() {
-        var luck = new Random(3);
+        var random = new Random(3);
         var raft = raft(true);
         var voted = new HashMap<Long, String>();
         for (var term = 1L; term <= TERMS; term++) {
-            var candidate = SEEDS.get(1 + luck.nextInt(2));
+            var candidate = SEEDS.get(1 + random.nextInt(2));
             assertThat(votes(raft, candidate, term)).isTrue();
             voted.put(term, candidate);
         }
--- a/src/test/java/wellwheel/pilot/ControlCalls.java
+++ b/src/test/java/wellwheel/control/ControlCalls.java
@@ -1,4 +1,4 @@
-package wellwheel.pilot;
+package wellwheel.control;
 
 import java.util.function.Consumer;
 
@@ -6,7 +6,7 @@
 final class ControlCalls {
     private ControlCalls() { }
 
-    static void read(PilotNode node, Consumer<PilotNode.Reply> answer) {
+    static void read(ControlNode node, Consumer<ControlNode.Reply> answer) {
         node.read(answer);
     }
 }
--- a/src/test/java/wellwheel/pilot/ControlModelTest.java
+++ b/src/test/java/wellwheel/control/ControlModelTest.java
@@ -1,4 +1,4 @@
-package wellwheel.pilot;
+package wellwheel.control;
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
@@ -15,7 +15,7 @@
     @ParameterizedTest
     @MethodSource("seeds")
     void noRuleOfControlIsBroken(long seed) {
-        var play = ControlPlay.drawn(seed);
+        var play = ControlScenario.drawn(seed);
         play.run();
         assertWithMessage("%s", play.story()).that(play.faults()).isEmpty();
     }
--- a/src/test/java/wellwheel/pilot/ControlPointsTest.java
+++ b/src/test/java/wellwheel/control/ControlPointsTest.java
@@ -1,5 +1,10 @@
-package wellwheel.pilot;
+package wellwheel.control;
 
+import wellwheel.control.ControlWorld.Machine;
+import wellwheel.control.ControlWorld.Order;
+import wellwheel.control.ControlWorld.Shape;
+import wellwheel.control.ControlWorld.Ways;
+import wellwheel.runtime.ResultCode;
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
@@ -12,11 +17,6 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import wellwheel.lantern.Codes;
-import wellwheel.pilot.ControlWorld.Machine;
-import wellwheel.pilot.ControlWorld.Order;
-import wellwheel.pilot.ControlWorld.Shape;
-import wellwheel.pilot.ControlWorld.Ways;
 
 /** One schedule made for each way in which the control side could go wrong on its worst days. */
 class ControlPointsTest {
@@ -29,37 +29,37 @@
         return LongStream.rangeClosed(1, 6);
     }
 
-    private static void sound(ControlPlay play) {
+    private static void sound(ControlScenario play) {
         assertWithMessage("%s", play.story()).that(play.verdict()).isEmpty();
     }
 
-    private static OrderHistory.Order changed(ControlPlay play) {
+    private static OrderHistory.Order changed(ControlScenario play) {
         var change = play.change(5 * SECOND);
         assertThat(play.faults()).isEmpty();
         assertWithMessage("a proper order is confirmed; %s", play.standing()).that(change.isPresent()).isTrue();
         return change.get();
     }
 
-    private static Machine leader(ControlPlay play) {
+    private static Machine leader(ControlScenario play) {
         return play.world.leader().orElseThrow();
     }
 
-    private static List<Machine> others(ControlPlay play, Machine machine) {
+    private static List<Machine> others(ControlScenario play, Machine machine) {
         return play.world.members().stream().filter(each -> each != machine && each.up).toList();
     }
 
     /** Answers of the followers are under way, and in a moment the leader hears nothing any more. */
-    private static Machine leaderAmidARound(ControlPlay play) {
+    private static Machine leaderAmidARound(ControlScenario play) {
         changed(play);
         var leader = leader(play);
         for (var i = 0; i < 6; i++) {
             play.world.after(i * 200L, () -> play.operators.call(Optional.of(play.operators.proper(play.orders.confirmedNumber())), leader.ip));
         }
-        play.world.runFor(1_400 + play.world.luck.nextInt(1_200));
+        play.world.runFor(1_400 + play.world.random.nextInt(1_200));
         return leader;
     }
 
-    private static void askAllKinds(ControlPlay play, Machine machine) {
+    private static void askAllKinds(ControlScenario play, Machine machine) {
         var known = play.orders.confirmedNumber();
         play.operators.call(Optional.empty(), machine.ip);
         play.operators.call(Optional.of(play.operators.proper(known)), machine.ip);
@@ -71,7 +71,7 @@
     @EnumSource(Order.class)
     void aFrozenLeaderTellsNothingOldWhenItThaws(Order order) {
         for (var seed = 1; seed <= 24; seed++) {
-            var play = ControlPlay.still(Shape.three(), seed, 0);
+            var play = ControlScenario.still(Shape.three(), seed, 0);
             var old = leaderAmidARound(play);
             play.world.freeze(old, 20 * SECOND, order);
             play.world.runFor(2 * SECOND);
@@ -89,7 +89,7 @@
     @EnumSource(Ways.class)
     void aLeaderThatIsCutOffTellsNothingOld(Ways ways) {
         for (var seed = 1; seed <= 12; seed++) {
-            var play = ControlPlay.still(Shape.three(), seed, 0);
+            var play = ControlScenario.still(Shape.three(), seed, 0);
             var old = leaderAmidARound(play);
             var cut = play.world.cut(List.of(old), ways, seed % 2 == 0, 20 * SECOND);
             askOften(play, old, 2 * SECOND);
@@ -102,13 +102,13 @@
         }
     }
 
-    private static void askOften(ControlPlay play, Machine machine, long spanUs) {
+    private static void askOften(ControlScenario play, Machine machine, long spanUs) {
         for (var atUs = 0L; atUs < spanUs; atUs += 15_000) {
             play.world.after(atUs, () -> askAllKinds(play, machine));
         }
     }
 
-    private static void pressOn(ControlPlay play, List<Machine> machines, long spanUs) {
+    private static void pressOn(ControlScenario play, List<Machine> machines, long spanUs) {
         for (var atUs = 0L; atUs < spanUs; atUs += 10_000) {
             play.world.after(atUs, () -> machines.forEach(each -> play.operators.call(Optional.of(play.operators.proper(play.orders.confirmedNumber())), each.ip)));
         }
@@ -119,7 +119,7 @@
     @ValueSource(longs = {450_000, 540_000, 580_000})
     void heldUpAnswersRenewNothing(long heldUs) {
         for (var seed = 1; seed <= 12; seed++) {
-            var play = ControlPlay.still(Shape.three(), seed, 0);
+            var play = ControlScenario.still(Shape.three(), seed, 0);
             var old = leaderAmidARound(play);
             var first = play.world.cut(List.of(old), Ways.BOTH, true, heldUs);
             play.world.runFor(heldUs - 5_000);
@@ -141,7 +141,7 @@
     @EnumSource(Ways.class)
     void aLeaderIsNotBelievedWhileItsVotersStartAgain(Ways ways) {
         for (var seed = 1; seed <= 12; seed++) {
-            var play = ControlPlay.still(Shape.three(), seed, 0);
+            var play = ControlScenario.still(Shape.three(), seed, 0);
             changed(play);
             var old = leader(play);
             var rest = others(play, old);
@@ -158,7 +158,7 @@
     @ParameterizedTest
     @MethodSource("few")
     void aTakenOrderIsNeverRefusedHoweverManyChangesLater(long seed) {
-        var play = ControlPlay.still(Shape.three(), seed, 0);
+        var play = ControlScenario.still(Shape.three(), seed, 0);
         var early = new ArrayList<OrderHistory.Order>();
         for (var i = 0; i < 300; i++) {
             var order = changed(play);
@@ -169,18 +169,18 @@
                 play.world.killAndRestart(leader(play), SECOND);
             }
         }
-        var answers = new ArrayList<Codes>();
-        early.forEach(order -> play.operators.order(order, code -> answers.add(code.orElse(Codes.NO_LEADER))));
+        var answers = new ArrayList<ResultCode>();
+        early.forEach(order -> play.operators.order(order, code -> answers.add(code.orElse(ResultCode.NO_LEADER))));
         play.world.runFor(3 * SECOND);
         assertThat(answers).hasSize(early.size());
-        assertThat(answers).containsNoneOf(Codes.OTHER_BASE, Codes.BAD_CONFIG);
+        assertThat(answers).containsNoneOf(ResultCode.OTHER_BASE, ResultCode.BAD_CONFIG);
         sound(play);
     }
 
     @ParameterizedTest
     @MethodSource("few")
     void ofTwoRivalsThroughTwoLeadersOneIsTaken(long seed) {
-        var play = ControlPlay.still(Shape.three(), seed, 0);
+        var play = ControlScenario.still(Shape.three(), seed, 0);
         changed(play);
         var old = leader(play);
         var base = play.orders.confirmedNumber();
@@ -210,7 +210,7 @@
     @ParameterizedTest
     @MethodSource("few")
     void aRepeatMeetsALeaderThatHasNotAppliedItYet(long seed) {
-        var play = ControlPlay.still(Shape.three(), seed, 0);
+        var play = ControlScenario.still(Shape.three(), seed, 0);
         changed(play);
         var old = leader(play);
         var order = play.operators.proper(play.orders.confirmedNumber());
@@ -232,7 +232,7 @@
     @MethodSource("few")
     void aNewLeaderAnswersNothingBeforeAllIsApplied(long seed) {
         for (var round = 0; round < 6; round++) {
-            var play = ControlPlay.still(Shape.three(), seed * 10 + round, 0);
+            var play = ControlScenario.still(Shape.three(), seed * 10 + round, 0);
             changed(play);
             var old = leader(play);
             var rest = others(play, old);
@@ -249,11 +249,11 @@
         }
     }
 
-    private static Machine drawn(ControlPlay play, List<Machine> from) {
-        return from.get(play.world.luck.nextInt(from.size()));
+    private static Machine drawn(ControlScenario play, List<Machine> from) {
+        return from.get(play.world.random.nextInt(from.size()));
     }
 
-    private static void lose(ControlPlay play, Machine machine, long kind) {
+    private static void lose(ControlScenario play, Machine machine, long kind) {
         switch ((int) kind % 3) {
             case 0 -> play.world.powerOff(machine);
             case 1 -> play.world.freeze(machine, 20 * SECOND, Order.MIXED);
@@ -266,13 +266,13 @@
     @ValueSource(longs = {0, 300_000, 900_000, 2_000_000, 4_000_000, 8_000_000})
     void aLossRightAfterAReplacementLeavesAMajority(long goneUs) {
         for (var seed = 1; seed <= 12; seed++) {
-            var play = ControlPlay.still(seed % 3 == 0 ? Shape.five() : Shape.three(), seed, 0);
+            var play = ControlScenario.still(seed % 3 == 0 ? Shape.five() : Shape.three(), seed, 0);
             changed(play);
             var gone = seed % 2 == 0 ? leader(play) : drawn(play, play.world.members());
             play.world.removeForGood(gone);
             play.world.runFor(goneUs);
-            var fresh = play.world.startEmpty("pilot");
-            play.world.runFor(Mischief.CATCH_UP_US);
+            var fresh = play.world.startEmpty("control");
+            play.world.runFor(FaultInjection.CATCH_UP_US);
             lose(play, drawn(play, others(play, seed % 4 == 0 ? fresh : gone)), seed);
             play.world.runFor(4 * SECOND);
             changed(play);
@@ -284,11 +284,11 @@
     @ValueSource(longs = {0, 10_000, 200_000, 1_000_000})
     void aLossRightAfterAPlannedReplacementLeavesAMajority(long laterUs) {
         for (var seed = 1; seed <= 12; seed++) {
-            var play = ControlPlay.still(seed % 3 == 0 ? Shape.five() : Shape.three(), seed, 0);
+            var play = ControlScenario.still(seed % 3 == 0 ? Shape.five() : Shape.three(), seed, 0);
             changed(play);
             var old = seed % 2 == 0 ? leader(play) : drawn(play, play.world.members());
-            play.world.startEmpty("pilot");
-            play.world.runFor(Mischief.CATCH_UP_US);
+            play.world.startEmpty("control");
+            play.world.runFor(FaultInjection.CATCH_UP_US);
             var ended = new boolean[1];
             play.world.terminate(old, () -> ended[0] = true);
             while (!ended[0]) {
@@ -305,16 +305,16 @@
     @ParameterizedTest
     @MethodSource("few")
     void severalReplacementsAtOnceLeaveAMajority(long seed) {
-        var play = ControlPlay.still(Shape.five(), seed, 0);
+        var play = ControlScenario.still(Shape.five(), seed, 0);
         for (var round = 0; round < 3; round++) {
             changed(play);
             var one = drawn(play, play.world.members());
             play.world.removeForGood(one);
             var two = drawn(play, others(play, one));
             play.world.after(500_000 * seed, () -> play.world.removeForGood(two));
-            play.world.after(500_000 * seed + 200_000, () -> play.world.startEmpty("pilot"));
-            play.world.after(500_000 * seed + 900_000, () -> play.world.startEmpty("pilot"));
-            play.world.runFor(500_000 * seed + 900_000 + Mischief.CATCH_UP_US);
+            play.world.after(500_000 * seed + 200_000, () -> play.world.startEmpty("control"));
+            play.world.after(500_000 * seed + 900_000, () -> play.world.startEmpty("control"));
+            play.world.runFor(500_000 * seed + 900_000 + FaultInjection.CATCH_UP_US);
         }
         lose(play, drawn(play, others(play, leader(play))), seed);
         lose(play, leader(play), seed + 1);
@@ -326,19 +326,19 @@
     @ParameterizedTest
     @MethodSource("few")
     void aLearnerThatIsWipedWhileItCatchesUpCountsForNothing(long seed) {
-        var play = ControlPlay.still(Shape.three(), seed, 100_000);
+        var play = ControlScenario.still(Shape.three(), seed, 100_000);
         for (var i = 0; i < 20; i++) {
             changed(play);
         }
         var gone = drawn(play, play.world.members());
         play.world.removeForGood(gone);
-        var fresh = play.world.startEmpty("pilot");
+        var fresh = play.world.startEmpty("control");
         for (var i = 0; i < 4; i++) {
             play.world.runFor(200_000 * seed);
             play.world.wipe(fresh);
             play.world.startAgain(fresh);
         }
-        play.world.runFor(Mischief.CATCH_UP_US);
+        play.world.runFor(FaultInjection.CATCH_UP_US);
         lose(play, drawn(play, others(play, fresh)), seed);
         play.world.runFor(4 * SECOND);
         changed(play);
@@ -348,14 +348,14 @@
     @ParameterizedTest
     @ValueSource(ints = {0, 250_000})
     void aMemberThatHasSyncedNothingIsNoVoter(int padding) {
-        var play = ControlPlay.still(Shape.three(), 3, padding);
+        var play = ControlScenario.still(Shape.three(), 3, padding);
         for (var i = 0; i < 120 && (i < 5 || padding > 0 && !endsWithASnapshot(play)); i++) {
             changed(play);
             play.world.runFor(100_000);
         }
         assertThat(endsWithASnapshot(play)).isEqualTo(padding > 0);
         play.world.removeForGood(others(play, leader(play)).get(0));
-        var fresh = play.world.startEmpty("pilot");
+        var fresh = play.world.startEmpty("control");
         fresh.disk.slow(20_000, 400);
         play.world.runFor(10 * SECOND);
         assertThat(leader(play).raft().voters()).doesNotContain(fresh.ip);
@@ -365,7 +365,7 @@
         sound(play);
     }
 
-    private static boolean endsWithASnapshot(ControlPlay play) {
+    private static boolean endsWithASnapshot(ControlScenario play) {
         var view = leader(play).raft().view();
         return view.snapIndex() > 0 && view.snapIndex() == view.last();
     }
@@ -375,22 +375,22 @@
     @MethodSource("few")
     void disksLostRightAfterAnAcknowledgementTakeNothingWithThem(long seed) {
         for (var round = 0; round < 12; round++) {
-            var play = ControlPlay.still(round % 2 == 0 ? Shape.five() : Shape.three(), seed * 100 + round, 0);
+            var play = ControlScenario.still(round % 2 == 0 ? Shape.five() : Shape.three(), seed * 100 + round, 0);
             changed(play);
             var old = leader(play);
             var damages = round % 4 > 1;
             var rest = new ArrayList<>(others(play, old));
-            Collections.shuffle(rest, play.world.luck);
+            Collections.shuffle(rest, play.world.random);
             var lacking = rest.subList(0, play.world.shape.survive());
             var holding = new ArrayList<>(rest.subList(play.world.shape.survive(), rest.size()));
             holding.add(old);
-            Collections.shuffle(holding, play.world.luck);
+            Collections.shuffle(holding, play.world.random);
             var cut = play.world.cut(lacking, Ways.BOTH, false, 0);
             play.operators.call(Optional.of(play.operators.proper(play.orders.confirmedNumber())), old.ip);
             play.operators.onAcknowledged(() -> {
                 play.world.members().stream().filter(each -> each.up).forEach(play.world::powerOff);
                 holding.subList(0, play.world.shape.survive()).forEach(damages ? each -> each.disk.damage() : each -> each.disk.wipe());
-                play.world.members().forEach(each -> play.world.after(400_000 + play.world.luck.nextInt(600_000), () -> play.world.startAgain(each)));
+                play.world.members().forEach(each -> play.world.after(400_000 + play.world.random.nextInt(600_000), () -> play.world.startAgain(each)));
             });
             play.world.runFor(SECOND / 5);
             play.world.join(cut);
@@ -404,14 +404,14 @@
     @ParameterizedTest
     @MethodSource("few")
     void anEmptyMachineThatWasVotedOutComesBackIn(long seed) {
-        var play = ControlPlay.still(Shape.three(), seed, 0);
+        var play = ControlScenario.still(Shape.three(), seed, 0);
         changed(play);
         var wiped = drawn(play, play.world.members());
         play.world.wipe(wiped);
-        var spare = play.world.startEmpty("pilot");
+        var spare = play.world.startEmpty("control");
         play.world.runFor(8 * SECOND);
         play.world.startAgain(wiped);
-        play.world.runFor(Mischief.CATCH_UP_US);
+        play.world.runFor(FaultInjection.CATCH_UP_US);
         play.world.removeForGood(spare);
         play.world.runFor(4 * SECOND);
         changed(play);
@@ -423,17 +423,17 @@
     @MethodSource("few")
     void whatWasNeverSyncedIsNotCountedAfterARestart(long seed) {
         for (var round = 0; round < 20; round++) {
-            var play = ControlPlay.still(Shape.three(), seed * 100 + round, 0);
+            var play = ControlScenario.still(Shape.three(), seed * 100 + round, 0);
             changed(play);
             var old = leader(play);
             var off = others(play, old).get(0);
             var killed = others(play, old).get(1);
             play.world.powerOff(off);
             play.operators.call(Optional.of(play.operators.proper(play.orders.confirmedNumber())), old.ip);
-            play.world.runFor(1_000 + play.world.luck.nextInt(1_400));
+            play.world.runFor(1_000 + play.world.random.nextInt(1_400));
             play.world.kill(killed);
             play.world.startAgain(killed);
-            play.world.runFor(160_000 + play.world.luck.nextInt(200_000));
+            play.world.runFor(160_000 + play.world.random.nextInt(200_000));
             List.of(old, killed).forEach(play.world::powerOff);
             play.world.runFor(SECOND);
             List.of(off, old, killed).forEach(play.world::startAgain);
@@ -443,14 +443,14 @@
         }
     }
 
-    private static void awayThroughThreeHundred(ControlPlay play, Machine away) {
+    private static void awayThroughThreeHundred(ControlScenario play, Machine away) {
         play.world.powerOff(away);
         for (var i = 0; i < 300; i++) {
             changed(play);
         }
     }
 
-    private static double levelAfterS(ControlPlay play, Machine machine, long mostS) {
+    private static double levelAfterS(ControlScenario play, Machine machine, long mostS) {
         var sinceUs = play.world.nowUs();
         while (machine.raft().view().commit() < play.world.log.lastConfirmed() && play.world.nowUs() - sinceUs < mostS * SECOND) {
             play.world.runFor(20_000);
@@ -462,7 +462,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"fast", "slow link", "slow disk"})
     void aMemberAwayThroughHundredsOfChangesIsLevelSoon(String road) {
-        var play = ControlPlay.still(Shape.three(), 5, 200_000);
+        var play = ControlScenario.still(Shape.three(), 5, 200_000);
         changed(play);
         var away = others(play, leader(play)).get(0);
         awayThroughThreeHundred(play, away);
--- a/src/test/java/wellwheel/pilot/ControlPlay.java
+++ b/src/test/java/wellwheel/control/ControlScenario.java
@@ -1,12 +1,12 @@
-package wellwheel.pilot;
+package wellwheel.control;
 
+import wellwheel.runtime.ResultCode;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import wellwheel.lantern.Codes;
 
 /** One run: machines, operators, mischief, and all checkers over it. */
-final class ControlPlay {
+final class ControlScenario {
     private static final long SECOND = ControlWorld.SECOND;
     private static final long QUIET_US = 4_000_000;
     private static final long ACK_US = 5_000_000;
@@ -16,29 +16,29 @@
     final ControlWorld world;
     final OrderHistory orders;
     final Operators operators;
-    final Mischief mischief;
+    final FaultInjection faults;
     private final long spanUs;
     private long stirredUs;
     private int probes;
 
-    ControlPlay(ControlWorld.Shape shape, long seed, int operatorCount, long paceUs, int padding, long spanUs) {
+    ControlScenario(ControlWorld.Shape shape, long seed, int operatorCount, long paceUs, int padding, long spanUs) {
         this.spanUs = spanUs;
         world = new ControlWorld(shape, seed);
         orders = new OrderHistory(world.faults);
         operators = new Operators(world, orders, operatorCount, paceUs, padding);
-        mischief = new Mischief(world, operators);
-        mischief.onDisturbed(this::stirred);
-        mischief.onReturn(machine -> operators.crowd(machine.ip));
+        faults = new FaultInjection(world, operators);
+        faults.onDisturbed(this::stirred);
+        faults.onReturn(machine -> operators.crowd(machine.ip));
         operators.calm(() -> stirredUs + QUIET_US <= world.nowUs());
         operators.onUnanswered(ACK_US, this::unanswered);
-        world.eachSample(this::checkClaims);
+        world.eachSample(this::checkLeases);
     }
 
-    static ControlPlay drawn(long seed) {
-        var luck = new java.util.Random(seed * 7919);
-        var heavy = luck.nextInt(6) == 0;
-        var shape = luck.nextInt(3) == 0 ? ControlWorld.Shape.five() : ControlWorld.Shape.three();
-        return new ControlPlay(shape, seed, 2 + luck.nextInt(3), heavy ? 800_000 : 150_000 + luck.nextInt(500_000), heavy ? 150_000 + luck.nextInt(250_000) : luck.nextInt(200), (30 + luck.nextInt(60)) * SECOND);
+    static ControlScenario drawn(long seed) {
+        var random = new java.util.Random(seed * 7919);
+        var heavy = random.nextInt(6) == 0;
+        var shape = random.nextInt(3) == 0 ? ControlWorld.Shape.five() : ControlWorld.Shape.three();
+        return new ControlScenario(shape, seed, 2 + random.nextInt(3), heavy ? 800_000 : 150_000 + random.nextInt(500_000), heavy ? 150_000 + random.nextInt(250_000) : random.nextInt(200), (30 + random.nextInt(60)) * SECOND);
     }
 
     List<String> faults() {
@@ -46,7 +46,7 @@
     }
 
     String story() {
-        var told = mischief.told();
+        var told = faults.told();
         if (Boolean.getBoolean("control.talk")) {
             told.forEach(System.out::println);
             orders.calls().forEach(System.out::println);
@@ -54,8 +54,8 @@
         return "mischief: " + told.subList(Math.max(0, told.size() - 12), told.size()) + "; " + orders.calls().size() + " calls, " + world.log.chain().size() + " changes, " + probes + " probes";
     }
 
-    static ControlPlay still(ControlWorld.Shape shape, long seed, int padding) {
-        var play = new ControlPlay(shape, seed, 0, SECOND, padding, 0);
+    static ControlScenario still(ControlWorld.Shape shape, long seed, int padding) {
+        var play = new ControlScenario(shape, seed, 0, SECOND, padding, 0);
         play.gather();
         return play;
     }
@@ -77,7 +77,7 @@
         operators.read(number -> number.ifPresentOrElse(each -> {
             var order = operators.proper(each);
             operators.order(order, code -> {
-                if (code.equals(Optional.of(Codes.FINE))) {
+                if (code.equals(Optional.of(ResultCode.FINE))) {
                     found.add(order);
                 } else {
                     changeOnce(found, untilUs);
@@ -100,9 +100,9 @@
 
     void run() {
         gather();
-        mischief.begin();
+        faults.begin();
         world.runFor(spanUs);
-        mischief.end();
+        faults.end();
         if (world.faults.none()) {
             settle();
         }
@@ -118,7 +118,7 @@
     }
 
     void settle() {
-        for (var i = 0; i < 60 && !mischief.quiet(); i++) {
+        for (var i = 0; i < 60 && !faults.quiet(); i++) {
             world.runFor(SECOND);
         }
         world.runFor(QUIET_US + ACK_US);
@@ -182,7 +182,7 @@
             return;
         }
         operators.read(number -> number.ifPresentOrElse(each -> operators.order(operators.proper(each), code -> {
-            if (code.equals(Optional.of(Codes.FINE))) {
+            if (code.equals(Optional.of(ResultCode.FINE))) {
                 done[0] = true;
             } else {
                 probeOnce(done);
@@ -190,11 +190,11 @@
         }), () -> world.after(50_000, () -> probeOnce(done))));
     }
 
-    private void checkClaims() {
+    private void checkLeases() {
         var newest = orders.confirmedBefore(world.nowUs() - REVOKE_US);
-        world.machines("gallery").stream().filter(each -> each.up && !each.frozen()).forEach(each -> each.claim.ifPresent(claim -> {
-            if (claim.knowsCore() && claim.ageUs() < ADMIT_US && claim.charter().revision() < newest) {
-                world.faults.add(world.nowUs(), "claims: admits by an old configuration", each.ip + " admits by " + claim.charter().revision() + ", " + newest + " was confirmed more than 5 s ago; claim of " + claim.pilot() + " is " + claim.ageUs() + " us old");
+        world.machines("edge").stream().filter(each -> each.up && !each.frozen()).forEach(each -> each.clusterLease.ifPresent(clusterLease -> {
+            if (clusterLease.knowsCore() && clusterLease.ageUs() < ADMIT_US && clusterLease.configuration().revision() < newest) {
+                world.faults.add(world.nowUs(), "claims: admits by an old configuration", each.ip + " admits by " + clusterLease.configuration().revision() + ", " + newest + " was confirmed more than 5 s ago; claim of " + clusterLease.control() + " is " + clusterLease.ageUs() + " us old");
             }
         }));
     }
--- a/src/test/java/wellwheel/pilot/ControlWorld.java
+++ b/src/test/java/wellwheel/control/ControlWorld.java
@@ -1,5 +1,11 @@
-package wellwheel.pilot;
-
+package wellwheel.control;
+
+import wellwheel.cluster.ClusterLease;
+import wellwheel.config.NodeOptions;
+import wellwheel.consensus.Raft;
+import wellwheel.runtime.Clock;
+import wellwheel.transport.Frame;
+import wellwheel.transport.Network;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -14,12 +20,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import wellwheel.lantern.Claim;
-import wellwheel.lantern.Clock;
-import wellwheel.lantern.Frame;
-import wellwheel.lantern.Layout;
-import wellwheel.lantern.Options;
-import wellwheel.lantern.Wire;
 
 final class ControlWorld {
     static final long SECOND = 1_000_000;
@@ -36,7 +36,7 @@
     private static final long LIST_LAG_US = 3_000_000;
     static final double FULL_BYTES_PER_US = 120;
 
-    record Shape(int pilots, int survive, int galleries, int keepers) {
+    record Shape(int controlNodes, int survive, int edges, int storageNodes) {
         static Shape three() {
             return new Shape(3, 1, 2, 2);
         }
@@ -85,8 +85,8 @@
         final String ip;
         final String role;
         final ModelDisk disk;
-        final double rate = 1 + (luck.nextDouble() - 0.5) * 0.002;
-        final long bootUs = luck.nextInt(1_000_000_000);
+        final double rate = 1 + (random.nextDouble() - 0.5) * 0.002;
+        final long bootUs = random.nextInt(1_000_000_000);
         long wallSkewUs;
         int life;
         boolean up;
@@ -97,8 +97,8 @@
         long frozenUntilUs;
         Order thaw = Order.MIXED;
         private long drainedUs;
-        Optional<PilotNode> node = Optional.empty();
-        Optional<Claim> claim = Optional.empty();
+        Optional<ControlNode> node = Optional.empty();
+        Optional<ClusterLease> clusterLease = Optional.empty();
         private final List<Held> held = new ArrayList<>();
 
         Machine(String ip, String role) {
@@ -114,7 +114,7 @@
                 public void call(int atLife, Runnable task) {
                     awake(atLife, "disk", task);
                 }
-            }, luck, SYNC_US);
+            }, random, SYNC_US);
         }
 
         long steadyUs() {
@@ -175,18 +175,18 @@
             var clock = new ModelClock(this, life);
             var wire = new ModelWire(this, life);
             var atLife = life;
-            if (role.equals("pilot")) {
+            if (role.equals("control")) {
                 guarded(this, () -> {
-                    node = Optional.of(new PilotNode(options(this), clock, wire, disk.bind(atLife), luck.nextLong()));
+                    node = Optional.of(new ControlNode(options(this), clock, wire, disk.bind(atLife), random.nextLong()));
                     node.get().onBroken(why -> faults.add(nowUs, "state is broken", ip + ": " + why));
                 });
             } else {
                 var seeds = seeds(this);
-                claim = Optional.of(new Claim(clock, wire, ip + "#" + life, seeds, () -> Frame.of("claim").with("role", role).with("zone", "north").with("life", "" + atLife), () -> { }));
+                clusterLease = Optional.of(new ClusterLease(clock, wire, ip + "#" + life, seeds, () -> Frame.of("claim").with("role", role).with("zone", "north").with("life", "" + atLife), () -> { }));
             }
             firstBoot = false;
             beat(life, TICK_US, this::tick);
-            beat(life, LEARN_US, () -> node.ifPresent(PilotNode::learn));
+            beat(life, LEARN_US, () -> node.ifPresent(ControlNode::learn));
         }
 
         private void beat(int atLife, long everyUs, Runnable task) {
@@ -197,25 +197,25 @@
         }
 
         private void tick() {
-            node.ifPresent(PilotNode::tick);
-            claim.ifPresent(Claim::tick);
-            claim.filter(each -> role.equals("keeper")).ifPresent(this::tellLevel);
+            node.ifPresent(ControlNode::tick);
+            clusterLease.ifPresent(ClusterLease::tick);
+            clusterLease.filter(each -> role.equals("storage")).ifPresent(this::tellLevel);
         }
 
-        private void tellLevel(Claim each) {
+        private void tellLevel(ClusterLease each) {
             var id = ip + "#" + life;
-            each.layout().lines().stream().filter(line -> line.joining().equals(id)).limit(8).forEach(line ->
-                transmit(this, life, each.pilot(), Frame.of("line.level").with("line", line.number()).with("node", id).with("epoch", line.epoch())));
+            each.view().partitions().stream().filter(line -> line.joining().equals(id)).limit(8).forEach(line ->
+                transmit(this, life, each.control(), Frame.of("line.level").with("line", line.number()).with("node", id).with("epoch", line.epoch())));
         }
 
         private void hear(String from, Frame frame) {
             node.ifPresent(each -> each.onFrame(from, frame));
-            claim.ifPresent(each -> each.onFrame(from, frame));
+            clusterLease.ifPresent(each -> each.onFrame(from, frame));
         }
 
         private void hearDown(String peer) {
             node.ifPresent(each -> each.onDown(peer));
-            claim.ifPresent(each -> each.onDown(peer));
+            clusterLease.ifPresent(each -> each.onDown(peer));
         }
 
         private void end() {
@@ -225,7 +225,7 @@
             drainedUs = 0;
             held.clear();
             node = Optional.empty();
-            claim = Optional.empty();
+            clusterLease = Optional.empty();
         }
     }
 
@@ -260,7 +260,7 @@
         }
     }
 
-    private final class ModelWire implements Wire {
+    private final class ModelWire implements Network {
         private final Machine machine;
         private final int life;
 
@@ -275,7 +275,7 @@
         }
     }
 
-    final Random luck;
+    final Random random;
     final Faults faults = new Faults();
     final Shape shape;
     final LogHistory log;
@@ -292,16 +292,16 @@
 
     ControlWorld(Shape shape, long seed) {
         this.shape = shape;
-        luck = new Random(seed);
+        random = new Random(seed);
         log = new LogHistory(faults);
-        for (var i = 0; i < shape.pilots(); i++) {
-            add("pilot").firstBoot = true;
+        for (var i = 0; i < shape.controlNodes(); i++) {
+            add("control").firstBoot = true;
         }
         listAgain();
-        for (var i = 0; i < shape.galleries() + shape.keepers(); i++) {
-            add(i < shape.galleries() ? "gallery" : "keeper");
+        for (var i = 0; i < shape.edges() + shape.storageNodes(); i++) {
+            add(i < shape.edges() ? "edge" : "storage");
         }
-        machines.values().forEach(machine -> after(1 + luck.nextInt(400_000), machine::start));
+        machines.values().forEach(machine -> after(1 + random.nextInt(400_000), machine::start));
         after(100_000, this::sampleAgain);
     }
 
@@ -327,7 +327,7 @@
     private List<String> seeds(Machine machine) {
         var list = new ArrayList<>(listed());
         if (!machine.firstBoot) {
-            Collections.shuffle(list, luck);
+            Collections.shuffle(list, random);
         }
         return List.copyOf(list.subList(0, Math.min(3, list.size())));
     }
@@ -341,12 +341,12 @@
         lists.put(nowUs, members().stream().map(each -> each.ip).toList());
     }
 
-    private Options options(Machine machine) {
+    private NodeOptions options(Machine machine) {
         var seeds = seeds(machine).stream().map(ip -> "\"" + ip + ":8741\"").toList();
         try {
-            return Options.read("{\"NodeName\":\"core-" + machine.ip + "\",\"Ip\":\"" + machine.ip + "\",\"Zone\":\"north\",\"ListenOn\":{\"Control\":\"" + machine.ip + ":8741\"},"
+            return NodeOptions.read("{\"NodeName\":\"core-" + machine.ip + "\",\"Ip\":\"" + machine.ip + "\",\"Zone\":\"north\",\"ListenOn\":{\"Control\":\"" + machine.ip + ":8741\"},"
                 + "\"InternalPorts\":[7100,7115],\"SeedNodes\":" + seeds + ",\"FirstBoot\":" + machine.firstBoot + ",\"Survive\":{\"Machines\":" + shape.survive() + "}}");
-        } catch (Options.Unusable e) {
+        } catch (NodeOptions.Unusable e) {
             throw new IllegalStateException(e);
         }
     }
@@ -379,8 +379,8 @@
         var names = new ArrayList<>(streams.keySet());
         var out = new ArrayList<Held>();
         while (!names.isEmpty()) {
-            var name = names.get(luck.nextInt(names.size()));
-            var count = Math.min(streams.get(name).size(), most == tasks.size() ? most : 1 + luck.nextInt(most));
+            var name = names.get(random.nextInt(names.size()));
+            var count = Math.min(streams.get(name).size(), most == tasks.size() ? most : 1 + random.nextInt(most));
             var part = streams.get(name).subList(0, count);
             out.addAll(part);
             part.clear();
@@ -411,7 +411,7 @@
             tellDown(from, life, peerIp, frame, peer.isEmpty() ? 400_000 : 2_000);
             return;
         }
-        biggestFrame = Math.max(biggestFrame, peer.get().role.equals("pilot") ? bytes.length : 0);
+        biggestFrame = Math.max(biggestFrame, peer.get().role.equals("control") ? bytes.length : 0);
         var sent = new Sent(life, peer.get().life, bytes, nowUs);
         var cut = cutOf(from.ip, peerIp);
         if (cut.isEmpty()) {
@@ -419,7 +419,7 @@
         } else if (cut.get().holds() && nowUs < cut.get().breaksUs()) {
             link(from, peer.get()).heldUp.add(sent);
         } else {
-            tellDown(from, life, peerIp, frame, 400_000 + luck.nextInt(600_000));
+            tellDown(from, life, peerIp, frame, 400_000 + random.nextInt(600_000));
         }
     }
 
@@ -431,7 +431,7 @@
     }
 
     private long delayUs() {
-        return 300 + luck.nextInt(900) + (luck.nextInt(400) == 0 ? luck.nextInt(30_000) : 0);
+        return 300 + random.nextInt(900) + (random.nextInt(400) == 0 ? random.nextInt(30_000) : 0);
     }
 
     private void carry(Link link, Sent sent, Frame frame) {
@@ -533,16 +533,16 @@
     }
 
     List<Machine> members() {
-        return machines("pilot").stream().filter(each -> !each.removed).toList();
+        return machines("control").stream().filter(each -> !each.removed).toList();
     }
 
     Optional<Machine> leader() {
         return members().stream().filter(each -> each.well() && each.raft().leadsFreshly()).findFirst();
     }
 
-    void ask(Machine machine, Consumer<PilotNode> call) {
+    void ask(Machine machine, Consumer<ControlNode> call) {
         var life = machine.life;
-        after(200 + luck.nextInt(400), () -> machine.awake(life, "call", () -> machine.node.ifPresent(call)));
+        after(200 + random.nextInt(400), () -> machine.awake(life, "call", () -> machine.node.ifPresent(call)));
     }
 
     void freeze(Machine machine, long spanUs, Order thaw) {
@@ -569,7 +569,7 @@
     private void release(Link link) {
         var sent = List.copyOf(link.heldUp);
         link.heldUp.clear();
-        var otherConnectionUs = luck.nextBoolean() ? luck.nextInt(50_000) : 0;
+        var otherConnectionUs = random.nextBoolean() ? random.nextInt(50_000) : 0;
         var atUs = nowUs + delayUs() + otherConnectionUs;
         if (otherConnectionUs == 0) {
             link.arrivesUs = Math.max(link.arrivesUs, atUs);
@@ -669,6 +669,6 @@
     }
 
     boolean allVote() {
-        return leader().map(each -> each.raft().voters().size() == shape.pilots()).orElse(false);
+        return leader().map(each -> each.raft().voters().size() == shape.controlNodes()).orElse(false);
     }
 }
--- a/src/test/java/wellwheel/pilot/Mischief.java
+++ b/src/test/java/wellwheel/control/FaultInjection.java
@@ -1,5 +1,6 @@
-package wellwheel.pilot;
+package wellwheel.control;
 
+import wellwheel.control.ControlWorld.Machine;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -7,16 +8,15 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
-import wellwheel.pilot.ControlWorld.Machine;
 
 /** Losses drawn from a seed, at most n at once as the rules count them, and now and then all power at once. */
-final class Mischief {
+final class FaultInjection {
     static final long CATCH_UP_US = 4_100_000;
     private static final long SECOND = ControlWorld.SECOND;
 
     private final ControlWorld world;
     private final Operators moments;
-    private final Random luck;
+    private final Random random;
     private final Map<Machine, Long> lost = new HashMap<>();
     private final List<Runnable> disturbed = new ArrayList<>();
     private final List<Consumer<Machine>> returned = new ArrayList<>();
@@ -25,10 +25,10 @@
     private boolean dark;
     private int planned;
 
-    Mischief(ControlWorld world, Operators moments) {
+    FaultInjection(ControlWorld world, Operators moments) {
         this.world = world;
         this.moments = moments;
-        luck = new Random(world.luck.nextLong());
+        random = new Random(world.random.nextLong());
     }
 
     void onDisturbed(Runnable task) {
@@ -75,14 +75,14 @@
         tell("back " + machine.ip);
         returned.forEach(each -> each.accept(machine));
         lost.put(machine, world.nowUs() + CATCH_UP_US);
-        world.after(CATCH_UP_US + (luck.nextBoolean() ? 1 : luck.nextInt(6_000_000)), this::next);
+        world.after(CATCH_UP_US + (random.nextBoolean() ? 1 : random.nextInt(6_000_000)), this::next);
     }
 
     private long spanUs() {
-        return switch (luck.nextInt(4)) {
-            case 0 -> 100_000 + luck.nextInt(2_000_000);
+        return switch (random.nextInt(4)) {
+            case 0 -> 100_000 + random.nextInt(2_000_000);
             case 1 -> 20 * SECOND;
-            default -> 1_000_000 + luck.nextInt(19_000_000);
+            default -> 1_000_000 + random.nextInt(19_000_000);
         };
     }
 
@@ -92,7 +92,7 @@
             return Optional.empty();
         }
         var leader = free.stream().filter(each -> each.raft().leads()).findFirst();
-        return leader.isPresent() && luck.nextInt(2) == 0 ? leader : Optional.of(free.get(luck.nextInt(free.size())));
+        return leader.isPresent() && random.nextInt(2) == 0 ? leader : Optional.of(free.get(random.nextInt(free.size())));
     }
 
     private void next() {
@@ -107,8 +107,8 @@
             }
             lose(victim.get());
             strikeSometime(victim.get());
-            if (luck.nextInt(3) > 0) {
-                world.after(luck.nextInt(8_000_000), this::next);
+            if (random.nextInt(3) > 0) {
+                world.after(random.nextInt(8_000_000), this::next);
                 return;
             }
         }
@@ -123,9 +123,9 @@
                 strikeIfThere(machine);
             }
         };
-        switch (luck.nextInt(3)) {
+        switch (random.nextInt(3)) {
             case 0 -> once.run();
-            case 1 -> moments.onCall(() -> world.after(luck.nextInt(3_000), once));
+            case 1 -> moments.onCall(() -> world.after(random.nextInt(3_000), once));
             default -> moments.onAcknowledged(once);
         }
         world.after(2 * SECOND, once);
@@ -141,7 +141,7 @@
     }
 
     private void strike(Machine machine) {
-        switch (luck.nextInt(15)) {
+        switch (random.nextInt(15)) {
             case 0, 1, 2 -> freeze(machine);
             case 12, 13 -> twisted(machine);
             case 3, 4, 5 -> cut(machine);
@@ -157,18 +157,18 @@
 
     private void freeze(Machine machine) {
         var spanUs = spanUs();
-        var order = ControlWorld.Order.values()[luck.nextInt(5)];
+        var order = ControlWorld.Order.values()[random.nextInt(5)];
         tell("freeze " + machine.ip + " for " + spanUs + " us, then " + order);
         world.freeze(machine, spanUs, order);
         world.after(spanUs, () -> found(machine));
     }
 
     private void cut(Machine machine) {
-        var ways = ControlWorld.Ways.values()[luck.nextInt(3)];
-        var holds = luck.nextBoolean();
+        var ways = ControlWorld.Ways.values()[random.nextInt(3)];
+        var holds = random.nextBoolean();
         var spanUs = spanUs();
         var side = withSomeHolders(machine);
-        var cut = world.cut(side, ways, holds, luck.nextBoolean() ? spanUs : 900_000);
+        var cut = world.cut(side, ways, holds, random.nextBoolean() ? spanUs : 900_000);
         tell("cut " + side.stream().map(each -> each.ip).toList() + " " + ways + (holds ? " holding" : " dropping") + " for " + spanUs + " us");
         world.after(spanUs, () -> {
             world.join(cut);
@@ -179,28 +179,28 @@
     /** Galleries and keepers may stand on the side of the one that is cut off. */
     private List<Machine> withSomeHolders(Machine machine) {
         var side = new ArrayList<>(List.of(machine));
-        holders().stream().filter(each -> luck.nextInt(3) == 0).forEach(side::add);
+        holders().stream().filter(each -> random.nextInt(3) == 0).forEach(side::add);
         return side;
     }
 
     private List<Machine> holders() {
-        var holders = new ArrayList<>(world.machines("gallery"));
-        holders.addAll(world.machines("keeper"));
+        var holders = new ArrayList<>(world.machines("edge"));
+        holders.addAll(world.machines("storage"));
         return holders;
     }
 
     /** Held up both ways for less than a leader's patience, let through for a moment, then cut off again. */
     private void twisted(Machine machine) {
-        var heldUs = 200_000 + luck.nextInt(400_000);
+        var heldUs = 200_000 + random.nextInt(400_000);
         var spanUs = spanUs();
-        var ways = luck.nextBoolean() ? ControlWorld.Ways.OUT : ControlWorld.Ways.BOTH;
+        var ways = random.nextBoolean() ? ControlWorld.Ways.OUT : ControlWorld.Ways.BOTH;
         tell("hold up " + machine.ip + " for " + heldUs + " us, then cut " + ways + " for " + spanUs + " us");
         var first = world.cut(List.of(machine), ControlWorld.Ways.BOTH, true, heldUs);
         world.after(heldUs, () -> {
-            var out = world.cut(List.of(machine), ControlWorld.Ways.OUT, luck.nextBoolean(), spanUs);
+            var out = world.cut(List.of(machine), ControlWorld.Ways.OUT, random.nextBoolean(), spanUs);
             world.join(first);
-            world.after(luck.nextInt(4_000), () -> {
-                var then = world.cut(List.of(machine), ways, luck.nextBoolean(), spanUs);
+            world.after(random.nextInt(4_000), () -> {
+                var then = world.cut(List.of(machine), ways, random.nextBoolean(), spanUs);
                 world.join(out);
                 world.after(spanUs, () -> {
                     world.join(then);
@@ -211,7 +211,7 @@
     }
 
     private void kill(Machine machine) {
-        var spanUs = luck.nextBoolean() ? 300_000 + luck.nextInt(900_000) : spanUs();
+        var spanUs = random.nextBoolean() ? 300_000 + random.nextInt(900_000) : spanUs();
         tell("kill " + machine.ip + " for " + spanUs + " us");
         world.kill(machine);
         backAfter(machine, spanUs);
@@ -247,11 +247,11 @@
     }
 
     private void replaced(Machine machine) {
-        var spanUs = luck.nextInt(8_000_000);
+        var spanUs = random.nextInt(8_000_000);
         tell(machine.ip + " gone for good, another in " + spanUs + " us");
         world.removeForGood(machine);
         world.after(spanUs, () -> {
-            var fresh = world.startEmpty("pilot");
+            var fresh = world.startEmpty("control");
             tell(fresh.ip + " stands for " + machine.ip);
             found(machine);
         });
@@ -260,7 +260,7 @@
     private void slowLink(Machine machine) {
         var spanUs = spanUs();
         tell("slow link to " + machine.ip + " for " + spanUs + " us");
-        world.slowLinks(machine, luck.nextBoolean() ? 0.2 : 1, luck.nextBoolean());
+        world.slowLinks(machine, random.nextBoolean() ? 0.2 : 1, random.nextBoolean());
         world.after(spanUs, () -> {
             world.slowLinks(machine, ControlWorld.FULL_BYTES_PER_US, false);
             found(machine);
@@ -270,7 +270,7 @@
     private void slowDisk(Machine machine) {
         var spanUs = spanUs();
         tell("slow disk of " + machine.ip + " for " + spanUs + " us");
-        machine.disk.slow(1 + luck.nextInt(3000), luck.nextBoolean() ? 1 : 400);
+        machine.disk.slow(1 + random.nextInt(3000), random.nextBoolean() ? 1 : 400);
         world.after(spanUs, () -> {
             machine.disk.slow(1, 400);
             found(machine);
@@ -281,16 +281,16 @@
         if (!on) {
             return;
         }
-        world.after(1_000_000 + luck.nextInt(20_000_000), this::smaller);
-        switch (luck.nextInt(6)) {
+        world.after(1_000_000 + random.nextInt(20_000_000), this::smaller);
+        switch (random.nextInt(6)) {
             case 0 -> plannedReplacement();
             case 1, 2 -> holderTrouble();
             case 3, 4 -> {
                 var members = world.members();
-                world.skew(members.get(luck.nextInt(members.size())), luck.nextInt(20_000_000) - 10_000_000);
+                world.skew(members.get(random.nextInt(members.size())), random.nextInt(20_000_000) - 10_000_000);
             }
             default -> {
-                if (luck.nextBoolean()) {
+                if (random.nextBoolean()) {
                     allPower();
                 } else {
                     moments.onAcknowledged(this::allPower);
@@ -301,11 +301,11 @@
 
     private void holderTrouble() {
         var holders = holders();
-        var holder = holders.get(luck.nextInt(holders.size()));
-        if (luck.nextBoolean()) {
-            world.freeze(holder, spanUs(), ControlWorld.Order.values()[luck.nextInt(5)]);
+        var holder = holders.get(random.nextInt(holders.size()));
+        if (random.nextBoolean()) {
+            world.freeze(holder, spanUs(), ControlWorld.Order.values()[random.nextInt(5)]);
         } else {
-            var cut = world.cut(List.of(holder), ControlWorld.Ways.values()[luck.nextInt(3)], luck.nextBoolean(), 900_000);
+            var cut = world.cut(List.of(holder), ControlWorld.Ways.values()[random.nextInt(3)], random.nextBoolean(), 900_000);
             world.after(spanUs(), () -> world.join(cut));
         }
     }
@@ -315,9 +315,9 @@
             return;
         }
         planned++;
-        var fresh = world.startEmpty("pilot");
+        var fresh = world.startEmpty("control");
         tell(fresh.ip + " comes, planned");
-        world.after(CATCH_UP_US + luck.nextInt(4_000_000), () -> {
+        world.after(CATCH_UP_US + random.nextInt(4_000_000), () -> {
             var old = victim().filter(each -> each != fresh && each.up);
             if (old.isEmpty() || dark) {
                 world.after(SECOND, () -> planned--);
@@ -328,7 +328,7 @@
                 planned--;
                 tell("ended " + old.get().ip);
                 lost.remove(old.get());
-                if (luck.nextBoolean()) {
+                if (random.nextBoolean()) {
                     next();
                 }
             });
@@ -337,14 +337,14 @@
 
     /** The closing fault: all power or all processes, and up to n disks. */
     private void allPower() {
-        if (!on || lostNow() > 0 || planned > 0 || dark || luck.nextInt(3) > 0) {
+        if (!on || lostNow() > 0 || planned > 0 || dark || random.nextInt(3) > 0) {
             return;
         }
         dark = true;
         var all = new ArrayList<>(world.members().stream().filter(each -> each.up).toList());
-        java.util.Collections.shuffle(all, luck);
-        var wiped = luck.nextBoolean() ? luck.nextInt(world.shape.survive() + 1) : 0;
-        var killed = wiped == 0 && luck.nextBoolean();
+        java.util.Collections.shuffle(all, random);
+        var wiped = random.nextBoolean() ? random.nextInt(world.shape.survive() + 1) : 0;
+        var killed = wiped == 0 && random.nextBoolean();
         tell(killed ? "all killed" : "all lose power, " + wiped + " their disks");
         for (var i = 0; i < all.size(); i++) {
             var machine = all.get(i);
@@ -355,12 +355,12 @@
             } else {
                 world.powerOff(machine);
             }
-            world.after(400_000 + luck.nextInt(1_500_000), () -> world.startAgain(machine));
+            world.after(400_000 + random.nextInt(1_500_000), () -> world.startAgain(machine));
         }
         world.after(2_000_000, () -> {
             dark = false;
             tell("all back");
-            world.after(CATCH_UP_US + luck.nextInt(5_000_000), this::next);
+            world.after(CATCH_UP_US + random.nextInt(5_000_000), this::next);
         });
     }
 }
--- a/src/test/java/wellwheel/pilot/Faults.java
+++ b/src/test/java/wellwheel/control/Faults.java
@@ -1,4 +1,4 @@
-package wellwheel.pilot;
+package wellwheel.control;
 
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/src/test/java/wellwheel/pilot/LogHistory.java
+++ b/src/test/java/wellwheel/control/LogHistory.java
@@ -1,5 +1,8 @@
-package wellwheel.pilot;
+package wellwheel.control;
 
+import wellwheel.config.Configuration;
+import wellwheel.consensus.Raft;
+import wellwheel.transport.Frame;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -8,8 +11,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import wellwheel.lantern.Charter;
-import wellwheel.lantern.Frame;
 
 /** What was confirmed, who led, who could be elected, and what each applied state looks like. */
 final class LogHistory {
@@ -111,12 +112,12 @@
             return;
         }
         try {
-            var next = Charter.read(frame.bytes("bytes")).revision();
+            var next = Configuration.read(frame.bytes("bytes")).revision();
             if (next > revision) {
                 chain.add(new Taken(revision, next, digest(frame.bytes("bytes")), nowUs));
                 revision = next;
             }
-        } catch (Charter.Invalid e) {
+        } catch (Configuration.Invalid e) {
             faults.add(nowUs, "log: an invalid configuration was taken", e.getMessage());
         }
     }
@@ -181,7 +182,7 @@
         if (confirmed.isEmpty()) {
             return;
         }
-        var up = world.machines("pilot").stream().filter(each -> each.up && each.node.isPresent()).toList();
+        var up = world.machines("control").stream().filter(each -> each.up && each.node.isPresent()).toList();
         for (var runner : up) {
             var view = runner.raft().view();
             if (view.last() >= confirmed.lastKey() || !view.mayVote()) {
--- a/src/test/java/wellwheel/pilot/ModelDisk.java
+++ b/src/test/java/wellwheel/control/ModelDisk.java
@@ -1,5 +1,6 @@
-package wellwheel.pilot;
+package wellwheel.control;
 
+import wellwheel.storage.Disk;
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -8,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import wellwheel.lantern.Disk;
 
 /** A disk with one worker that writes in order, a batch to a sync, as FileDisk does. */
 final class ModelDisk {
@@ -44,7 +44,7 @@
     }
 
     private final Host host;
-    private final Random luck;
+    private final Random random;
     private final long syncUs;
     private final Map<String, Content> files = new HashMap<>();
     private final ArrayDeque<Work> queue = new ArrayDeque<>();
@@ -54,9 +54,9 @@
     private double bytesPerUs = 400;
     private long written;
 
-    ModelDisk(Host host, Random luck, long syncUs) {
+    ModelDisk(Host host, Random random, long syncUs) {
         this.host = host;
-        this.luck = luck;
+        this.random = random;
         this.syncUs = syncUs;
     }
 
@@ -132,11 +132,11 @@
     }
 
     void processDies() {
-        var reached = luck.nextInt(batch.size() + 1);
+        var reached = random.nextInt(batch.size() + 1);
         batch.subList(0, reached).forEach(this::write);
-        if (reached < batch.size() && !batch.get(reached).whole() && luck.nextBoolean()) {
+        if (reached < batch.size() && !batch.get(reached).whole() && random.nextBoolean()) {
             var torn = batch.get(reached);
-            file(torn.name()).loose.add(Arrays.copyOf(torn.bytes(), luck.nextInt(torn.bytes().length)));
+            file(torn.name()).loose.add(Arrays.copyOf(torn.bytes(), random.nextInt(torn.bytes().length)));
         }
         stop();
     }
@@ -156,7 +156,7 @@
         for (var file : files.values()) {
             var bytes = file.synced.toByteArray();
             if (bytes.length > 0) {
-                bytes[luck.nextInt(1 + bytes.length * 3 / 4)] ^= (byte) (1 << luck.nextInt(8));
+                bytes[random.nextInt(1 + bytes.length * 3 / 4)] ^= (byte) (1 << random.nextInt(8));
                 file.become(bytes);
             }
         }
@@ -172,13 +172,13 @@
         var out = new ByteArrayOutputStream();
         var sound = 0;
         for (var bytes : file.loose) {
-            switch (luck.nextInt(3)) {
+            switch (random.nextInt(3)) {
                 case 0 -> {
                     out.writeBytes(bytes);
                     sound = out.size();
                 }
                 case 1 -> {
-                    var there = luck.nextInt(bytes.length + 1);
+                    var there = random.nextInt(bytes.length + 1);
                     out.writeBytes(Arrays.copyOf(Arrays.copyOf(bytes, there), bytes.length));
                     sound = there == 0 ? sound : out.size() - bytes.length + there;
                 }
@@ -186,7 +186,7 @@
             }
         }
         file.loose.clear();
-        var kept = luck.nextBoolean() ? out.toByteArray() : Arrays.copyOf(out.toByteArray(), sound);
+        var kept = random.nextBoolean() ? out.toByteArray() : Arrays.copyOf(out.toByteArray(), sound);
         file.synced.writeBytes(kept);
     }
 }
--- a/src/test/java/wellwheel/pilot/Operators.java
+++ b/src/test/java/wellwheel/control/Operators.java
@@ -1,5 +1,6 @@
-package wellwheel.pilot;
+package wellwheel.control;
 
+import wellwheel.runtime.ResultCode;
 import com.google.gson.JsonParser;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -10,7 +11,6 @@
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import wellwheel.lantern.Codes;
 
 /** Callers of control: they follow 307 twice, go on after a 5xx or a second of silence, and send again what got no clear answer. */
 final class Operators {
@@ -26,7 +26,7 @@
 
     private final ControlWorld world;
     private final OrderHistory history;
-    private final Random luck;
+    private final Random random;
     private final List<Operator> operators = new ArrayList<>();
     private final ArrayDeque<OrderHistory.Order> unclear = new ArrayDeque<>();
     private final List<OrderHistory.Order> confirmed = new ArrayList<>();
@@ -46,7 +46,7 @@
         this.history = history;
         this.paceUs = paceUs;
         this.padding = padding;
-        luck = new Random(world.luck.nextLong());
+        random = new Random(world.random.nextLong());
         for (var i = 0; i < count; i++) {
             var operator = new Operator();
             operators.add(operator);
@@ -66,17 +66,17 @@
         if (!sending) {
             return;
         }
-        world.after(1 + (long) (luck.nextDouble() * 2 * paceUs), () -> work(operator));
+        world.after(1 + (long) (random.nextDouble() * 2 * paceUs), () -> work(operator));
         if (operator.underWay >= UNDER_WAY) {
             return;
         }
-        var kind = luck.nextInt(20);
+        var kind = random.nextInt(20);
         if (kind < 5) {
             read(operator, number -> { });
         } else if (kind < 7 && !unclear.isEmpty()) {
             send(operator, unclear.removeFirst());
         } else if (kind < 8 && !confirmed.isEmpty()) {
-            send(operator, confirmed.get(luck.nextInt(confirmed.size())));
+            send(operator, confirmed.get(random.nextInt(confirmed.size())));
         } else if (kind < 10) {
             read(operator, number -> rivals(operator, number));
         } else if (kind < 11) {
@@ -88,15 +88,15 @@
 
     private void rivals(Operator operator, long number) {
         var next = next(number);
-        for (var i = luck.nextInt(3); i >= 0; i--) {
-            var other = operators.get(luck.nextInt(operators.size()));
-            send(other, order(number, luck.nextInt(4) == 0 ? next(number) : next));
+        for (var i = random.nextInt(3); i >= 0; i--) {
+            var other = operators.get(random.nextInt(operators.size()));
+            send(other, order(number, random.nextInt(4) == 0 ? next(number) : next));
         }
     }
 
     private long next(long number) {
         highest = Math.max(highest, number);
-        return number + 1 + luck.nextInt(5);
+        return number + 1 + random.nextInt(5);
     }
 
     OrderHistory.Order proper(long base) {
@@ -104,12 +104,12 @@
     }
 
     private OrderHistory.Order order(long base, long number) {
-        return new OrderHistory.Order(Optional.of(base), number, config(number, luck.nextInt(4)), true);
+        return new OrderHistory.Order(Optional.of(base), number, config(number, random.nextInt(4)), true);
     }
 
     private OrderHistory.Order odd(long known) {
         var number = next(known);
-        return switch (luck.nextInt(6)) {
+        return switch (random.nextInt(6)) {
             case 0 -> new OrderHistory.Order(Optional.empty(), number, config(number, 1), false);
             case 1 -> new OrderHistory.Order(Optional.of(known), known, config(known, 1), false);
             case 2 -> new OrderHistory.Order(Optional.of(known), number, new String(config(number, 1), StandardCharsets.UTF_8).replace("}]}", "}").getBytes(StandardCharsets.UTF_8), false);
@@ -134,11 +134,11 @@
             operator.underWay--;
             if (answer.isEmpty()) {
                 unclear.add(order);
-            } else if (answer.get() == Codes.FINE) {
+            } else if (answer.get() == ResultCode.FINE) {
                 operator.known = Math.max(operator.known, order.number);
                 confirmed.add(order);
                 if (confirmed.size() > REPEATED) {
-                    confirmed.remove(luck.nextInt(REPEATED));
+                    confirmed.remove(random.nextInt(REPEATED));
                 }
             } else {
                 operator.known = history.confirmedNumber();
@@ -158,26 +158,26 @@
     }
 
     /** Some calls straight at one machine, as many as come while it thaws or joins. */
-    void crowd(String pilot) {
+    void crowd(String control) {
         for (var i = 0; i < 4; i++) {
-            world.after(luck.nextInt(4_000), () -> call(luck.nextInt(3) > 0 ? Optional.empty() : Optional.of(proper(history.confirmedNumber())), pilot));
+            world.after(random.nextInt(4_000), () -> call(random.nextInt(3) > 0 ? Optional.empty() : Optional.of(proper(history.confirmedNumber())), control));
         }
     }
 
-    void order(OrderHistory.Order order, Consumer<Optional<Codes>> done) {
-        attempt(Optional.of(order), anyPilot(), 0, 0, watched("order " + order, call -> done.accept(call.flatMap(each -> each.answer))));
+    void order(OrderHistory.Order order, Consumer<Optional<ResultCode>> done) {
+        attempt(Optional.of(order), anyControl(), 0, 0, watched("order " + order, call -> done.accept(call.flatMap(each -> each.answer))));
     }
 
     void read(Consumer<Optional<Long>> done) {
-        attempt(Optional.empty(), anyPilot(), 0, 0, watched("read", call -> done.accept(call.filter(each -> each.is(Codes.FINE)).map(each -> each.number))));
+        attempt(Optional.empty(), anyControl(), 0, 0, watched("read", call -> done.accept(call.filter(each -> each.is(ResultCode.FINE)).map(each -> each.number))));
     }
 
-    private String anyPilot() {
+    private String anyControl() {
         var known = world.listed();
-        return known.get(luck.nextInt(known.size()));
+        return known.get(random.nextInt(known.size()));
     }
 
-    private String nextPilot(String last) {
+    private String nextControl(String last) {
         var known = world.listed();
         return known.get((known.indexOf(last) + 1) % known.size());
     }
@@ -221,9 +221,9 @@
         };
     }
 
-    private void attempt(Optional<OrderHistory.Order> order, String pilot, int tries, int hops, Consumer<Optional<OrderHistory.Call>> done) {
+    private void attempt(Optional<OrderHistory.Order> order, String control, int tries, int hops, Consumer<Optional<OrderHistory.Call>> done) {
         var over = new boolean[1];
-        var call = call(order, pilot, reply -> {
+        var call = call(order, control, reply -> {
             if (!over[0]) {
                 over[0] = true;
                 onReply(order, reply, tries, hops, done);
@@ -232,17 +232,17 @@
         world.after(SILENT_US, () -> {
             if (!over[0] && call.answer.isEmpty()) {
                 over[0] = true;
-                goOn(order, pilot, tries, done);
+                goOn(order, control, tries, done);
             }
         });
     }
 
     private void onReply(Optional<OrderHistory.Order> order, Replied replied, int tries, int hops, Consumer<Optional<OrderHistory.Call>> done) {
-        var code = replied.call().answer.orElse(Codes.NO_LEADER);
-        if (code == Codes.ELSEWHERE && hops < 2) {
+        var code = replied.call().answer.orElse(ResultCode.NO_LEADER);
+        if (code == ResultCode.ELSEWHERE && hops < 2) {
             attempt(order, replied.location().replaceAll("http://([0-9.]+):.*", "$1"), tries, hops + 1, done);
-        } else if (code == Codes.ELSEWHERE || code.status() >= 500) {
-            goOn(order, replied.call().pilot, tries, done);
+        } else if (code == ResultCode.ELSEWHERE || code.status() >= 500) {
+            goOn(order, replied.call().control, tries, done);
         } else {
             done.accept(Optional.of(replied.call()));
         }
@@ -252,27 +252,27 @@
         if (tries + 1 >= TRIES) {
             done.accept(Optional.empty());
         } else {
-            world.after(Math.min(800_000, 50_000L << tries), () -> attempt(order, nextPilot(last), tries + 1, 0, done));
+            world.after(Math.min(800_000, 50_000L << tries), () -> attempt(order, nextControl(last), tries + 1, 0, done));
         }
     }
 
     private record Replied(OrderHistory.Call call, String location) { }
 
     /** One exchange with one pilot, recorded whatever comes of it. */
-    OrderHistory.Call call(Optional<OrderHistory.Order> order, String pilot) {
-        return call(order, pilot, replied -> { });
+    OrderHistory.Call call(Optional<OrderHistory.Order> order, String control) {
+        return call(order, control, replied -> { });
     }
 
-    private OrderHistory.Call call(Optional<OrderHistory.Order> order, String pilot, Consumer<Replied> done) {
-        var call = history.begins(order, pilot, world.nowUs());
+    private OrderHistory.Call call(Optional<OrderHistory.Order> order, String control, Consumer<Replied> done) {
+        var call = history.begins(order, control, world.nowUs());
         order.ifPresent(each -> runAll(onCall));
-        var machine = world.machine(pilot);
+        var machine = world.machine(control);
         if (!machine.up && machine.powered) {
             world.after(2_000, () -> done.accept(new Replied(call, "")));
             return call;
         }
-        var lost = luck.nextInt(25) == 0 && !calm.getAsBoolean();
-        Consumer<PilotNode.Reply> answer = reply -> world.after(200 + luck.nextInt(400), () -> {
+        var lost = random.nextInt(25) == 0 && !calm.getAsBoolean();
+        Consumer<ControlNode.Reply> answer = reply -> world.after(200 + random.nextInt(400), () -> {
             if (!lost && call.endUs == Long.MAX_VALUE && machine.powered) {
                 end(call, reply);
                 done.accept(new Replied(call, reply.location()));
@@ -282,13 +282,13 @@
         return call;
     }
 
-    private void end(OrderHistory.Call call, PilotNode.Reply reply) {
-        if (call.order.isEmpty() && reply.code() == Codes.FINE) {
+    private void end(OrderHistory.Call call, ControlNode.Reply reply) {
+        if (call.order.isEmpty() && reply.code() == ResultCode.FINE) {
             call.digest = LogHistory.digest(reply.body());
             call.number = JsonParser.parseString(new String(reply.body(), StandardCharsets.UTF_8)).getAsJsonObject().get("Revision").getAsLong();
         }
         history.ends(call, world.nowUs(), reply.code());
-        if (call.order.isPresent() && call.is(Codes.FINE)) {
+        if (call.order.isPresent() && call.is(ResultCode.FINE)) {
             runAll(onAcknowledged);
         }
     }
--- a/src/test/java/wellwheel/pilot/OrderHistory.java
+++ b/src/test/java/wellwheel/control/OrderHistory.java
@@ -1,5 +1,6 @@
-package wellwheel.pilot;
+package wellwheel.control;
 
+import wellwheel.runtime.ResultCode;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -7,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import wellwheel.lantern.Codes;
 
 /** Every call with its answer, checked as one register with compare-and-set by base and number. */
 final class OrderHistory {
@@ -35,26 +35,26 @@
 
     static final class Call {
         final Optional<Order> order;
-        final String pilot;
+        final String control;
         final long startUs;
         long endUs = Long.MAX_VALUE;
-        Optional<Codes> answer = Optional.empty();
+        Optional<ResultCode> answer = Optional.empty();
         String digest = "";
         long number;
 
-        Call(Optional<Order> order, String pilot, long startUs) {
+        Call(Optional<Order> order, String control, long startUs) {
             this.order = order;
-            this.pilot = pilot;
+            this.control = control;
             this.startUs = startUs;
         }
 
-        boolean is(Codes code) {
+        boolean is(ResultCode code) {
             return answer.isPresent() && answer.get() == code;
         }
 
         @Override
         public String toString() {
-            return String.format("%s at %s from %.3f to %.3f s: %s", order.map(each -> "order " + each).orElse("read"), pilot, startUs / 1e6, endUs / 1e6, answer.map(each -> each.status() + (order.isEmpty() ? " version " + number : "")).orElse("silence"));
+            return String.format("%s at %s from %.3f to %.3f s: %s", order.map(each -> "order " + each).orElse("read"), control, startUs / 1e6, endUs / 1e6, answer.map(each -> each.status() + (order.isEmpty() ? " version " + number : "")).orElse("silence"));
         }
     }
 
@@ -67,8 +67,8 @@
         this.faults = faults;
     }
 
-    Call begins(Optional<Order> order, String pilot, long nowUs) {
-        var call = new Call(order, pilot, nowUs);
+    Call begins(Optional<Order> order, String control, long nowUs) {
+        var call = new Call(order, control, nowUs);
         calls.add(call);
         order.ifPresent(each -> {
             each.firstUs = Math.min(each.firstUs, nowUs);
@@ -77,10 +77,10 @@
         return call;
     }
 
-    void ends(Call call, long nowUs, Codes code) {
+    void ends(Call call, long nowUs, ResultCode code) {
         call.endUs = nowUs;
         call.answer = Optional.of(code);
-        if (code == Codes.FINE && numberOf(call) > confirmedNumber()) {
+        if (code == ResultCode.FINE && numberOf(call) > confirmedNumber()) {
             newest.put(nowUs, numberOf(call));
         }
     }
@@ -94,7 +94,7 @@
     }
 
     Optional<Order> newestOrder() {
-        return calls.stream().filter(call -> call.is(Codes.FINE)).flatMap(call -> call.order.stream()).max(Comparator.comparingLong(order -> order.number));
+        return calls.stream().filter(call -> call.is(ResultCode.FINE)).flatMap(call -> call.order.stream()).max(Comparator.comparingLong(order -> order.number));
     }
 
     List<Call> calls() {
@@ -112,9 +112,9 @@
     }
 
     private void checkOrder(Call call, Order order, Map<String, LogHistory.Taken> taken) {
-        if (call.is(Codes.FINE) && !order.sound) {
+        if (call.is(ResultCode.FINE) && !order.sound) {
             faults.add(call.endUs, "orders: an invalid one was confirmed", call.toString());
-        } else if (call.is(Codes.FINE) && !taken.containsKey(order.digest)) {
+        } else if (call.is(ResultCode.FINE) && !taken.containsKey(order.digest)) {
             faults.add(call.endUs, "orders: confirmed though never taken", call.toString());
         } else if (refused(call) && taken.containsKey(order.digest)) {
             faults.add(call.endUs, "orders: refused though taken", String.format("taken at %.3f s: %s", taken.get(order.digest).atUs() / 1e6, call));
@@ -122,11 +122,11 @@
     }
 
     private static boolean refused(Call call) {
-        return call.order.isPresent() && (call.is(Codes.OTHER_BASE) || call.is(Codes.BAD_CONFIG));
+        return call.order.isPresent() && (call.is(ResultCode.OTHER_BASE) || call.is(ResultCode.BAD_CONFIG));
     }
 
     private void checkRead(Call call, Map<String, LogHistory.Taken> taken) {
-        if (call.is(Codes.FINE) && call.number > 0 && !taken.containsKey(call.digest)) {
+        if (call.is(ResultCode.FINE) && call.number > 0 && !taken.containsKey(call.digest)) {
             faults.add(call.endUs, "orders: a version that was never taken was read", call.toString());
         }
     }
@@ -134,7 +134,7 @@
     private void checkOnePerBase() {
         var byBase = new HashMap<Long, Order>();
         var byNumber = new HashMap<Long, Order>();
-        calls.stream().filter(call -> call.is(Codes.FINE) && call.order.isPresent()).forEach(call -> {
+        calls.stream().filter(call -> call.is(ResultCode.FINE) && call.order.isPresent()).forEach(call -> {
             var order = call.order.get();
             for (var other : List.of(byBase.getOrDefault(order.base.orElse(-1L), order), byNumber.getOrDefault(order.number, order))) {
                 if (!other.digest.equals(order.digest)) {
@@ -149,7 +149,7 @@
     /** Newest version surely in force at a moment: by then an answer had told it. */
     private TreeMap<Long, Call> floor() {
         var floor = new TreeMap<Long, Call>();
-        calls.stream().filter(call -> call.is(Codes.FINE)).sorted(Comparator.comparingLong(call -> call.endUs)).forEach(call -> {
+        calls.stream().filter(call -> call.is(ResultCode.FINE)).sorted(Comparator.comparingLong(call -> call.endUs)).forEach(call -> {
             if (floor.isEmpty() || numberOf(floor.lastEntry().getValue()) < numberOf(call)) {
                 floor.put(call.endUs, call);
             }
@@ -163,7 +163,7 @@
 
     private void checkBounds() {
         var floor = floor();
-        calls.stream().filter(call -> call.is(Codes.FINE) && call.order.isEmpty()).forEach(call -> {
+        calls.stream().filter(call -> call.is(ResultCode.FINE) && call.order.isEmpty()).forEach(call -> {
             var known = Optional.ofNullable(floor.lowerEntry(call.startUs)).map(Map.Entry::getValue);
             known.filter(each -> numberOf(each) > call.number).ifPresent(each -> faults.add(call.endUs, "orders: read an older version", call + ", but before it " + each));
             var order = Optional.ofNullable(orders.get(call.digest));
--- a/src/test/java/wellwheel/gallery/GalleryNodeTest.java
+++ b/src/test/java/wellwheel/edge/EdgeNodeTest.java
@@ -1,5 +1,10 @@
-package wellwheel.gallery;
+package wellwheel.edge;
 
+import wellwheel.cluster.ClusterView;
+import wellwheel.config.NodeOptions;
+import wellwheel.runtime.ManualClock;
+import wellwheel.transport.Exchange;
+import wellwheel.transport.Frame;
 import static com.google.common.truth.Truth.assertThat;
 
 import java.nio.charset.StandardCharsets;
@@ -8,15 +13,10 @@
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
-import wellwheel.lantern.Exchange;
-import wellwheel.lantern.Frame;
-import wellwheel.lantern.HandClock;
-import wellwheel.lantern.Layout;
-import wellwheel.lantern.Options;
-
-class GalleryNodeTest {
-    private static final String PILOT = "10.0.0.1";
-    private static final String KEEPER = "10.0.0.2";
+
+class EdgeNodeTest {
+    private static final String CONTROL = "10.0.0.1";
+    private static final String STORAGE = "10.0.0.2";
     private static final String OTHER = "10.0.0.3";
     private static final String CONFIG = "{\"Revision\":1,\"Routing\":[{\"Name\":\"r\",\"Host\":\"h\",\"PathStart\":\"/\",\"Type\":\"background\",\"GiveUpMs\":500,\"TargetMs\":100,\"Rank\":1,"
         + "\"Backend\":\"s\",\"Tries\":3,\"InOrder\":false,\"KeepForS\":90,\"StartTargetMs\":500,\"Public\":false}],\"Backends\":[{\"Name\":\"s\",\"MaxConns\":4,\"RatePerS\":0.0,\"DropsRepeats\":false,"
@@ -25,7 +25,7 @@
     private record Sent(String ip, Frame frame) { }
 
     private final List<Sent> sent = new ArrayList<>();
-    private final HandClock clock = new HandClock();
+    private final ManualClock clock = new ManualClock();
 
     private static final class Client implements Exchange {
         private final String method;
@@ -77,25 +77,25 @@
         }
     }
 
-    private GalleryNode gallery(long incarnation) throws Exception {
-        var options = Options.read("{\"NodeName\":\"me\",\"Ip\":\"10.0.0.9\",\"Zone\":\"z\",\"ListenOn\":{},\"InternalPorts\":[7100,7115],\"SeedNodes\":[\"" + PILOT + ":1\"],\"FirstBoot\":true,\"Survive\":{\"Machines\":1}}");
-        var node = new GalleryNode(options, clock, (ip, frame) -> sent.add(new Sent(ip, Frame.unpack(frame.pack()))), incarnation);
+    private EdgeNode edge(long incarnation) throws Exception {
+        var options = NodeOptions.read("{\"NodeName\":\"me\",\"Ip\":\"10.0.0.9\",\"Zone\":\"z\",\"ListenOn\":{},\"InternalPorts\":[7100,7115],\"SeedNodes\":[\"" + CONTROL + ":1\"],\"FirstBoot\":true,\"Survive\":{\"Machines\":1}}");
+        var node = new EdgeNode(options, clock, (ip, frame) -> sent.add(new Sent(ip, Frame.unpack(frame.pack()))), incarnation);
         node.tick();
-        var members = List.of(new Layout.Member("k#1", "keeper", KEEPER, "z"), new Layout.Member("o#1", "keeper", OTHER, "z"));
-        var lines = List.of(new Layout.Line(0, 1, List.of("k#1", "o#1"), "", 2, 1).frame(), new Layout.Line(1, 1, List.of("o#1", "k#1"), "", 2, 1).frame());
-        var frame = Frame.of("claim.ok").with("sent", clock.nowUs).with("core", clock.nowUs).with("voters", List.<Object>of(PILOT)).with("rev", 1).with("config", CONFIG.getBytes(StandardCharsets.UTF_8))
-            .with("mem", 1).with("members", members.stream().map(Layout.Member::frame).toList()).with("lines", lines);
-        node.onFrame(PILOT, Frame.unpack(frame.pack()));
+        var members = List.of(new ClusterView.Member("k#1", "storage", STORAGE, "z"), new ClusterView.Member("o#1", "storage", OTHER, "z"));
+        var partitions = List.of(new ClusterView.Partition(0, 1, List.of("k#1", "o#1"), "", 2, 1).frame(), new ClusterView.Partition(1, 1, List.of("o#1", "k#1"), "", 2, 1).frame());
+        var frame = Frame.of("claim.ok").with("sent", clock.nowUs).with("core", clock.nowUs).with("voters", List.<Object>of(CONTROL)).with("rev", 1).with("config", CONFIG.getBytes(StandardCharsets.UTF_8))
+            .with("mem", 1).with("members", members.stream().map(ClusterView.Member::frame).toList()).with("lines", partitions);
+        node.onFrame(CONTROL, Frame.unpack(frame.pack()));
         return node;
     }
 
-    private Client get(GalleryNode node, String name) {
+    private Client get(EdgeNode node, String name) {
         var client = new Client("GET", "/message/" + name, Map.of("Host", "h", "Authorization", "Bearer k"));
         node.onExchange(client);
         return client;
     }
 
-    private Client handIn(GalleryNode node, String id) {
+    private Client handIn(EdgeNode node, String id) {
         var client = new Client("POST", "/x", Map.of("Host", "h", "Authorization", "Bearer k", "Attempt-Id", id));
         node.onExchange(client);
         return client;
@@ -111,35 +111,35 @@
 
     @Test
     void aLateAnswerAboutOneLineIsNotTakenForOneAboutAll() throws Exception {
-        var node = gallery(1);
+        var node = edge(1);
         var client = get(node, "0-m1");
         var first = asked("look").get(0).frame().number("rid");
-        node.onFrame(KEEPER, missing(first));
+        node.onFrame(STORAGE, missing(first));
         var wide = asked("look").get(1).frame().number("rid");
-        node.onFrame(KEEPER, missing(first));
+        node.onFrame(STORAGE, missing(first));
         node.onFrame(OTHER, missing(wide));
         assertThat(client.answers).isEmpty();
-        node.onFrame(KEEPER, Frame.of("look.ok").with("rid", wide).with("sure", true).with("found", true).with("authority", true));
+        node.onFrame(STORAGE, Frame.of("look.ok").with("rid", wide).with("sure", true).with("found", true).with("authority", true));
         assertThat(client.statuses()).containsExactly(200);
     }
 
     @Test
     void requestsOfTwoLivesHaveNoNumberInCommon() throws Exception {
-        var former = gallery(0x1111_2222_3333_4444L);
+        var former = edge(0x1111_2222_3333_4444L);
         handIn(former, "m1");
         var number = asked("put").get(0).frame().number("rid");
         sent.clear();
-        var node = gallery(0x1111_2222_3333_4445L);
+        var node = edge(0x1111_2222_3333_4445L);
         var client = handIn(node, "m2");
-        node.onFrame(KEEPER, Frame.of("put.ok").with("rid", number).with("r", "kept"));
+        node.onFrame(STORAGE, Frame.of("put.ok").with("rid", number).with("r", "kept"));
         assertThat(client.answers).isEmpty();
-        node.onFrame(KEEPER, Frame.of("put.ok").with("rid", asked("put").get(0).frame().number("rid")).with("r", "kept"));
+        node.onFrame(STORAGE, Frame.of("put.ok").with("rid", asked("put").get(0).frame().number("rid")).with("r", "kept"));
         assertThat(client.statuses()).containsExactly(202);
     }
 
     @Test
     void aHandInThatMayHaveArrivedGoesToNoOtherLineAndIsNotRefused() throws Exception {
-        var node = gallery(1);
+        var node = edge(1);
         var client = handIn(node, "m1");
         var first = asked("put").get(0);
         node.onDown(first.ip());
@@ -151,14 +151,14 @@
         node.tick();
         assertThat(asked("put").stream().map(each -> each.frame().number("l")).distinct().toList()).containsExactly(first.frame().number("l"));
         clock.nowUs += 2_100_000;
-        node.onFrame(PILOT, Frame.of("claim.ok").with("sent", clock.nowUs).with("core", clock.nowUs));
+        node.onFrame(CONTROL, Frame.of("claim.ok").with("sent", clock.nowUs).with("core", clock.nowUs));
         node.tick();
         assertThat(client.statuses()).containsExactly(504);
     }
 
     @Test
     void aHandInThatSurelyDidNotLeaveGoesToAnotherLine() throws Exception {
-        var node = gallery(1);
+        var node = edge(1);
         var client = handIn(node, "m1");
         var first = asked("put").get(0);
         node.onUnsent(first.ip(), first.frame());
--- a/src/test/java/wellwheel/gallery/LimiterTest.java
+++ b/src/test/java/wellwheel/edge/RateLimiterTest.java
@@ -1,5 +1,6 @@
-package wellwheel.gallery;
+package wellwheel.edge;
 
+import wellwheel.transport.Frame;
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.ArrayList;
@@ -8,14 +9,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import wellwheel.lantern.Frame;
 
-class LimiterTest {
+class RateLimiterTest {
     private static final long WINDOW_US = 5_000_000;
     private long nowUs = 1_000_000_000;
 
-    private Limiter limiter(String name) {
-        return new Limiter(name, WINDOW_US, () -> nowUs);
+    private RateLimiter limiter(String name) {
+        return new RateLimiter(name, WINDOW_US, () -> nowUs);
     }
 
     private static Frame wired(Frame frame) {
@@ -25,13 +25,13 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
     void noSpanAdmitsMoreThanItsBucket(long seed) {
-        var luck = new Random(seed);
+        var random = new Random(seed);
         var limiter = limiter("a");
-        var limit = new Limiter.Limit(50, 30);
+        var limit = new RateLimiter.Limit(50, 30);
         var admitted = new ArrayList<Long>();
         var untilUs = nowUs + 20_000_000;
         while (nowUs < untilUs) {
-            nowUs += luck.nextInt(luck.nextInt(100) == 0 ? 400_000 : 8_000);
+            nowUs += random.nextInt(random.nextInt(100) == 0 ? 400_000 : 8_000);
             if (limiter.hit("t", limit, 1).admitted()) {
                 admitted.add(nowUs);
             }
@@ -39,7 +39,7 @@
         for (var first = 0; first < admitted.size(); first++) {
             for (var last = first; last < admitted.size() && admitted.get(last) - admitted.get(first) <= WINDOW_US; last++) {
                 var spanUs = admitted.get(last) - admitted.get(first);
-                assertThat((double) (last - first + 1)).isAtMost(30 + 50 * (spanUs + Limiter.SCALE_US) / 1e6 + 1);
+                assertThat((double) (last - first + 1)).isAtMost(30 + 50 * (spanUs + RateLimiter.SCALE_US) / 1e6 + 1);
             }
         }
         assertThat(admitted.size()).isAtLeast(50 * 20 * 8 / 10);
@@ -49,7 +49,7 @@
     void deltasCountAtPeersAndLostOnesAreHealedByTotals() {
         var a = limiter("a");
         var b = limiter("b");
-        var wide = new Limiter.Limit(1000, 1000);
+        var wide = new RateLimiter.Limit(1000, 1000);
         a.hit("t", wide, 1);
         assertThat(b.take(wired(a.drain()))).isTrue();
         a.hit("t", wide, 1);
@@ -70,7 +70,7 @@
     void aRestartedNodeLearnsTheLiveWindowsOfAllSenders() {
         var a = limiter("a");
         var b = limiter("b");
-        var wide = new Limiter.Limit(1000, 1000);
+        var wide = new RateLimiter.Limit(1000, 1000);
         for (var hit = 0; hit < 5; hit++) {
             a.hit("t", wide, 1);
         }
@@ -85,7 +85,7 @@
     void endedWindowsAreDroppedOnBothSides() {
         var a = limiter("a");
         var b = limiter("b");
-        a.hit("t", new Limiter.Limit(10, 10), 1);
+        a.hit("t", new RateLimiter.Limit(10, 10), 1);
         var late = a.totals("a");
         nowUs += 2 * WINDOW_US;
         assertThat(a.drain().list("rows")).isEmpty();
@@ -96,7 +96,7 @@
     @Test
     void hitsOfTheNewestLifeCountAfterHundredsOfRestarts() {
         var b = limiter("b");
-        var wide = new Limiter.Limit(1_000_000, 1_000_000);
+        var wide = new RateLimiter.Limit(1_000_000, 1_000_000);
         for (var life = 0; life < 1000; life++) {
             var a = limiter("a#" + life);
             a.hit("t", wide, 1);
@@ -109,7 +109,7 @@
     void aQuietSenderUsesUpNoNumbersAndALostLastDeltaIsNoticed() {
         var a = limiter("a");
         var b = limiter("b");
-        var wide = new Limiter.Limit(1000, 1000);
+        var wide = new RateLimiter.Limit(1000, 1000);
         assertThat(b.take(wired(a.drain()))).isTrue();
         assertThat(a.drain().number("n")).isEqualTo(a.drain().number("n"));
         a.hit("t", wide, 1);
@@ -124,7 +124,7 @@
     void hitsGivenBackAreFreeAgainEverywhere() {
         var a = limiter("a");
         var b = limiter("b");
-        var limit = new Limiter.Limit(0, 1);
+        var limit = new RateLimiter.Limit(0, 1);
         assertThat(a.hit("t", limit, 1).admitted()).isTrue();
         assertThat(a.hit("t", limit, 1).admitted()).isFalse();
         b.take(wired(a.drain()));
@@ -137,7 +137,7 @@
     @Test
     void keysAreBoundedAndTheColdestLeaves() {
         var limiter = limiter("a");
-        var limit = new Limiter.Limit(10, 10);
+        var limit = new RateLimiter.Limit(10, 10);
         limiter.hit("first", limit, 1);
         for (var key = 0; key < 10_000; key++) {
             limiter.hit("k" + key, limit, 1);
@@ -150,7 +150,7 @@
     @Test
     void aPartAdmitsOnlyItsShare() {
         var limiter = limiter("a");
-        var limit = new Limiter.Limit(10, 40);
+        var limit = new RateLimiter.Limit(10, 40);
         var admitted = 0;
         for (var hit = 0; hit < 100; hit++) {
             admitted += limiter.hit("t", limit, 0.25).admitted() ? 1 : 0;
--- a/src/test/java/wellwheel/forecast/ForecastTest.java
+++ b/src/test/java/wellwheel/forecast/ForecastTest.java
@@ -18,7 +18,7 @@
     private record Work(double atS, String tenant, double legS) { }
 
     static final class Maker {
-        private final Random luck;
+        private final Random random;
         private final int weeks;
         private final int outageHour;
         private final int holiday;
@@ -26,10 +26,10 @@
         final Season season = new Season(HOUR_US);
 
         Maker(long seed, int weeks) {
-            this.luck = new Random(seed);
+            this.random = new Random(seed);
             this.weeks = weeks;
-            this.outageHour = (weeks - 2) * 168 + 24 * luck.nextInt(5) + 11;
-            this.holiday = (weeks - 1) * 7 + luck.nextInt(3);
+            this.outageHour = (weeks - 2) * 168 + 24 * random.nextInt(5) + 11;
+            this.holiday = (weeks - 1) * 7 + random.nextInt(3);
             this.mergeWeek = weeks / 2;
         }
 
@@ -40,7 +40,7 @@
                 for (var tenant : List.of("hospital", "court", "merged-desk")) {
                     var count = poisson(rate(tenant, hour));
                     for (var each = 0; each < count; each++) {
-                        arrivals.add(new Work(hour * 3600 + luck.nextDouble() * 3600, tenant, 120 * Math.exp(0.5 * luck.nextGaussian() - 0.125)));
+                        arrivals.add(new Work(hour * 3600 + random.nextDouble() * 3600, tenant, 120 * Math.exp(0.5 * random.nextGaussian() - 0.125)));
                     }
                 }
             }
@@ -59,11 +59,11 @@
             var weekend = day % 7 >= 5 || day == holiday ? 0.3 : 1;
             var growth = Math.pow(1.015, hour / 168.0);
             var size = tenant.equals("hospital") ? 130 : tenant.equals("court") ? 80 : 45;
-            return size * open * weekend * growth * (0.93 + 0.14 * luck.nextDouble());
+            return size * open * weekend * growth * (0.93 + 0.14 * random.nextDouble());
         }
 
         private int poisson(double mean) {
-            return (int) Math.max(0, Math.round(mean + Math.sqrt(mean) * luck.nextGaussian()));
+            return (int) Math.max(0, Math.round(mean + Math.sqrt(mean) * random.nextGaussian()));
         }
 
         private void count(List<Work> arrivals, int hours) {
@@ -137,15 +137,15 @@
     }
 
     @Test
-    void aMergedDeskKeepsItsOwnForecast() throws Season.Invalid {
+    void aMergedDispatcherKeepsItsOwnForecast() throws Season.Invalid {
         var season = new Maker(3, 8).make();
         var forecast = new Forecast(season, season.last());
         var step = season.last() + 1 + 10;
         var sum = season.teams().stream().mapToDouble(team -> forecast.work(team, step).middle()).sum();
         assertThat(forecast.service(SERVICE, step).middle()).isWithin(1e-9).of(sum);
-        var desk = forecast.work(new Season.Team("merged-desk", SERVICE), step).middle();
+        var dispatcher = forecast.work(new Season.Team("merged-desk", SERVICE), step).middle();
         var hospital = forecast.work(new Season.Team("hospital", SERVICE), step).middle();
-        assertThat(desk / hospital).isWithin(0.12).of(45.0 / 130);
+        assertThat(dispatcher / hospital).isWithin(0.12).of(45.0 / 130);
     }
 
     @Test
--- a/src/test/java/wellwheel/lantern/QueueHistoryTest.java
+++ b/src/test/java/wellwheel/history/QueueHistoryTest.java
@@ -1,5 +1,8 @@
-package wellwheel.lantern;
+package wellwheel.history;
 
+import wellwheel.config.NodeOptions;
+import wellwheel.storage.Disk;
+import wellwheel.transport.Frame;
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
@@ -30,8 +33,8 @@
         }
     };
 
-    private QueueHistory history(String life) throws Options.Unusable {
-        var options = Options.read("{\"NodeName\":\"me\",\"Ip\":\"10.0.0.2\",\"Zone\":\"z\",\"ListenOn\":{},\"InternalPorts\":[7100],\"SeedNodes\":[],\"History\":{\"Enabled\":true,\"IntervalS\":60,\"FlushS\":10}}");
+    private QueueHistory history(String life) throws NodeOptions.Unusable {
+        var options = NodeOptions.read("{\"NodeName\":\"me\",\"Ip\":\"10.0.0.2\",\"Zone\":\"z\",\"ListenOn\":{},\"InternalPorts\":[7100],\"SeedNodes\":[],\"History\":{\"Enabled\":true,\"IntervalS\":60,\"FlushS\":10}}");
         return new QueueHistory(options, life, Optional.of(disk), () -> nowUs);
     }
 
@@ -40,7 +43,7 @@
     }
 
     @Test
-    void countsSurviveARestartAndRepeatedFlushesCountOnce() throws Options.Unusable {
+    void countsSurviveARestartAndRepeatedFlushesCountOnce() throws NodeOptions.Unusable {
         var first = history("1");
         for (var each = 0; each < 5; each++) {
             first.arrived("t", "s", nowUs);
@@ -54,7 +57,7 @@
     }
 
     @Test
-    void aDamagedRecordIsSkippedAndCounted() throws Options.Unusable {
+    void aDamagedRecordIsSkippedAndCounted() throws NodeOptions.Unusable {
         var first = history("1");
         first.arrived("t", "s", nowUs);
         first.flush();
@@ -74,14 +77,14 @@
     }
 
     @Test
-    void anUnknownVersionIsRefusedWithOneClearLine() throws Options.Unusable {
+    void anUnknownVersionIsRefusedWithOneClearLine() throws NodeOptions.Unusable {
         new HistoryFile(disk, "history.journal").append(Frame.of("history").with("version", 9).pack());
         var refusal = assertThrows(QueueHistory.Unreadable.class, () -> history("1"));
         assertThat(refusal.getMessage()).contains("version 9");
     }
 
     @Test
-    void tenantsAreBoundedAndTheRestIsShown() throws Options.Unusable {
+    void tenantsAreBoundedAndTheRestIsShown() throws NodeOptions.Unusable {
         var first = history("1");
         for (var tenant = 0; tenant < 10_000; tenant++) {
             first.arrived("t" + tenant, "s", nowUs);
@@ -92,7 +95,7 @@
     }
 
     @Test
-    void aTornRecordOfAnyShapeHidesNothingWrittenAfterIt() throws Options.Unusable {
+    void aTornRecordOfAnyShapeHidesNothingWrittenAfterIt() throws NodeOptions.Unusable {
         for (var shape = 0; shape < 4; shape++) {
             file.reset();
             var first = history("1");
--- a/src/test/java/wellwheel/keeper/HttpCourierTest.java
+++ b/src/test/java/wellwheel/queue/HttpDeliveryClientTest.java
@@ -1,13 +1,13 @@
-package wellwheel.keeper;
+package wellwheel.queue;
 
+import wellwheel.transport.PooledHttpClient;
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.HashMap;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import wellwheel.lantern.Caller;
 
-class HttpCourierTest {
+class HttpDeliveryClientTest {
     @ParameterizedTest
     @CsvSource({
         "ANSWERED, 200, seal, , DONE",
@@ -29,7 +29,7 @@
         "ANSWERED, 504, , , UNKNOWN",
         "NOT_SENT, 0, , , NOT_RUN",
         "UNKNOWN, 0, , , UNKNOWN"})
-    void onlyWhatSaysSoOrWasNeverSentDidNotRun(Caller.Fate fate, int status, String seal, String notRun, Courier.Result result) {
+    void onlyWhatSaysSoOrWasNeverSentDidNotRun(PooledHttpClient.Fate fate, int status, String seal, String notRun, DeliveryClient.Result result) {
         var headers = new HashMap<String, String>();
         if (seal != null) {
             headers.put("server-seal", seal);
@@ -37,6 +37,6 @@
         if (notRun != null) {
             headers.put("not-run", notRun);
         }
-        assertThat(HttpCourier.judge(new Caller.Answer(fate, status, headers, new byte[0])).result()).isEqualTo(result);
+        assertThat(HttpDeliveryClient.judge(new PooledHttpClient.Answer(fate, status, headers, new byte[0])).result()).isEqualTo(result);
     }
 }
