--- a/src/test/java/wellwheel/keeper/KeeperNodeTest.java
+++ b/src/test/java/wellwheel/queue/StorageNodeTest.java
@@ -1,5 +1,11 @@
-package wellwheel.keeper;
-
+package wellwheel.queue;
+
+import wellwheel.cluster.ClusterView;
+import wellwheel.config.NodeOptions;
+import wellwheel.runtime.Clock;
+import wellwheel.storage.Disk;
+import wellwheel.transport.Frame;
+import wellwheel.transport.Network;
 import static com.google.common.truth.Truth.assertThat;
 
 import java.nio.charset.StandardCharsets;
@@ -11,15 +17,9 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import wellwheel.lantern.Clock;
-import wellwheel.lantern.Disk;
-import wellwheel.lantern.Frame;
-import wellwheel.lantern.Layout;
-import wellwheel.lantern.Options;
-import wellwheel.lantern.Wire;
-
-class KeeperNodeTest {
-    private static final String PILOT = "10.0.0.1";
+
+class StorageNodeTest {
+    private static final String CONTROL = "10.0.0.1";
     private static final String OTHER = "10.0.0.3";
     private static final String CONFIG = "{\"Revision\":1,\"Routing\":[{\"Name\":\"r\",\"Host\":\"h\",\"PathStart\":\"/\",\"Type\":\"background\",\"GiveUpMs\":500,\"TargetMs\":100,\"Rank\":1,"
         + "\"Backend\":\"s\",\"Tries\":3,\"InOrder\":false,\"KeepForS\":90,\"StartTargetMs\":500,\"Public\":false}],\"Backends\":[{\"Name\":\"s\",\"MaxConns\":4,\"RatePerS\":0.0,\"DropsRepeats\":false,"
@@ -30,10 +30,10 @@
     private long nowUs = 1_000_000;
     private final PriorityQueue<Task> tasks = new PriorityQueue<>((a, b) -> Long.compare(a.atUs(), b.atUs()));
     private final List<Frame> sentToOther = new ArrayList<>();
-    private final List<Frame> sentToPilot = new ArrayList<>();
-    private final List<Consumer<Courier.Outcome>> legs = new ArrayList<>();
+    private final List<Frame> sentToControl = new ArrayList<>();
+    private final List<Consumer<DeliveryClient.Outcome>> attempts = new ArrayList<>();
     private String config = CONFIG;
-    private KeeperNode node;
+    private StorageNode node;
 
     private final Clock clock = new Clock() {
         @Override
@@ -53,9 +53,9 @@
             return () -> tasks.remove(one);
         }
     };
-    private final Wire wire = (ip, frame) -> {
+    private final Network wire = (ip, frame) -> {
         var copy = Frame.unpack(frame.pack());
-        (ip.equals(OTHER) ? sentToOther : sentToPilot).add(copy);
+        (ip.equals(OTHER) ? sentToOther : sentToControl).add(copy);
     };
     private boolean stalled;
     private final List<Runnable> unsynced = new ArrayList<>();
@@ -90,16 +90,16 @@
 
     private void boot() throws Exception {
         start(true);
-        news(line(1, List.of(node.id(), "other#1"), "", 2, 1));
+        news(partition(1, List.of(node.id(), "other#1"), "", 2, 1));
         handIn("m1");
     }
 
     private void start(boolean first) throws Exception {
-        var options = Options.read("{\"NodeName\":\"me\",\"Ip\":\"10.0.0.2\",\"Zone\":\"z\",\"ListenOn\":{},\"InternalPorts\":[7100,7115],\"SeedNodes\":[\"" + PILOT + ":1\"],\"FirstBoot\":" + first + ",\"Survive\":{\"Machines\":1}}");
-        node = new KeeperNode(options, clock, wire, disk, new Courier() {
+        var options = NodeOptions.read("{\"NodeName\":\"me\",\"Ip\":\"10.0.0.2\",\"Zone\":\"z\",\"ListenOn\":{},\"InternalPorts\":[7100,7115],\"SeedNodes\":[\"" + CONTROL + ":1\"],\"FirstBoot\":" + first + ",\"Survive\":{\"Machines\":1}}");
+        node = new StorageNode(options, clock, wire, disk, new DeliveryClient() {
             @Override
-            public void deliver(Leg leg, Consumer<Outcome> done) {
-                legs.add(done);
+            public void deliver(Attempt attempt, Consumer<Outcome> done) {
+                attempts.add(done);
             }
 
             @Override
@@ -108,15 +108,15 @@
         node.tick();
     }
 
-    private static Layout.Line line(long epoch, List<String> copies, String joining, int need, long version) {
-        return new Layout.Line(0, epoch, copies, joining, need, version);
+    private static ClusterView.Partition partition(long epoch, List<String> copies, String joining, int need, long version) {
+        return new ClusterView.Partition(0, epoch, copies, joining, need, version);
     }
 
-    private void news(Layout.Line line) {
-        var members = List.of(new Layout.Member(node.id(), "keeper", "10.0.0.2", "z"), new Layout.Member("other#1", "keeper", OTHER, "y"));
-        var frame = Frame.of("claim.ok").with("sent", nowUs).with("core", nowUs).with("voters", List.<Object>of(PILOT)).with("rev", 1).with("config", config.getBytes(StandardCharsets.UTF_8))
-            .with("mem", 1).with("members", members.stream().map(Layout.Member::frame).toList()).with("lines", List.of(line.frame()));
-        node.onFrame(PILOT, Frame.unpack(frame.pack()));
+    private void news(ClusterView.Partition partition) {
+        var members = List.of(new ClusterView.Member(node.id(), "storage", "10.0.0.2", "z"), new ClusterView.Member("other#1", "storage", OTHER, "y"));
+        var frame = Frame.of("claim.ok").with("sent", nowUs).with("core", nowUs).with("voters", List.<Object>of(CONTROL)).with("rev", 1).with("config", config.getBytes(StandardCharsets.UTF_8))
+            .with("mem", 1).with("members", members.stream().map(ClusterView.Member::frame).toList()).with("lines", List.of(partition.frame()));
+        node.onFrame(CONTROL, Frame.unpack(frame.pack()));
     }
 
     private void handIn(String id) {
@@ -128,7 +128,7 @@
     }
 
     private void rejoin(String version, int state, boolean bodiless) {
-        news(line(2, List.of(node.id()), "other#1", 1, 2));
+        news(partition(2, List.of(node.id()), "other#1", 1, 2));
         assertThat(other("join.ask")).hasSize(1);
         var row = new Frame().with("id", "m1").with("v", version).with("state", state).with("w", true).with("nb", bodiless);
         node.onFrame(OTHER, Frame.unpack(Frame.of("join.have").with("line", 0).with("epoch", 2).with("have", List.of(row)).with("from", "other#1").pack()));
@@ -138,7 +138,7 @@
     void aCopyThatHasEverythingIsSentNothing() {
         rejoin("0.0.1." + (1L << 20), 0, false);
         assertThat(other("rep")).isEmpty();
-        assertThat(sentToPilot.stream().map(Frame::kind).toList()).contains("line.level");
+        assertThat(sentToControl.stream().map(Frame::kind).toList()).contains("line.level");
     }
 
     @Test
@@ -159,7 +159,7 @@
 
     @Test
     void whatANewEpochSaysWinsOverAHigherRevisionOfAnOldOne() {
-        news(line(2, List.of("other#1", node.id()), "", 2, 2));
+        news(partition(2, List.of("other#1", node.id()), "", 2, 2));
         var older = new Frame().with("k", "u").with("l", 0).with("i", "m1").with("v", (1L << 20) + 9).with("ep", 2).with("f", 2);
         var newer = new Frame().with("k", "u").with("l", 0).with("i", "m1").with("v", (1L << 20) + 1).with("ep", 3).with("f", 1);
         node.onFrame(OTHER, Frame.of("rep").with("l", 0).with("e", 2L).with("s", (2L << 32) + 1).with("c", older));
@@ -173,7 +173,7 @@
 
     @Test
     void recordsOfTheFormerVersionCountAsOfTheEpochThatSendsThem() {
-        news(line(2, List.of("other#1", node.id()), "", 2, 2));
+        news(partition(2, List.of("other#1", node.id()), "", 2, 2));
         var former = new Frame().with("k", "u").with("l", 0).with("i", "m1").with("v", 2L << 20).with("f", 1);
         node.onFrame(OTHER, Frame.unpack(Frame.of("rep").with("l", 0).with("e", 2L).with("s", (2L << 32) + 1).with("c", former).pack()));
         sentToOther.clear();
@@ -209,59 +209,59 @@
     }
 
     private Frame look() {
-        sentToPilot.clear();
+        sentToControl.clear();
         node.onFrame("10.0.0.9", Frame.of("look").with("rid", 7).with("line", 0).with("id", "m1").with("tenant", "t").with("host", "h"));
-        return sentToPilot.stream().filter(frame -> frame.kind().equals("look.ok")).findFirst().orElse(Frame.of("none"));
+        return sentToControl.stream().filter(frame -> frame.kind().equals("look.ok")).findFirst().orElse(Frame.of("none"));
     }
 
     private void pushedTo(String address) throws Exception {
         config = CONFIG.replace("\"WorkerPull\":true,\"Endpoint\":null", "\"WorkerPull\":false,\"Endpoint\":\"" + address + "\"");
         sentToOther.clear();
-        legs.clear();
+        attempts.clear();
         boot();
         copyAcknowledges();
         copyAcknowledges();
-        assertThat(legs).hasSize(1);
+        assertThat(attempts).hasSize(1);
     }
 
     @Test
     void aSuccessThatIsReadWhileTheRecordIsBeingBroughtToTheCopyAfterATakeoverIsNotLost() throws Exception {
         pushedTo("10.0.0.7:80");
-        news(line(2, List.of("other#1", node.id()), "", 2, 2));
+        news(partition(2, List.of("other#1", node.id()), "", 2, 2));
         var record = new Frame().with("k", "u").with("l", 0).with("i", "m1").with("v", (2L << 20) + 1).with("ep", 2).with("g", 1).with("le", 1);
         node.onFrame(OTHER, Frame.unpack(Frame.of("rep").with("l", 0).with("e", 2L).with("s", (2L << 32) + 1).with("w", 1).with("c", record).pack()));
         sentToOther.clear();
-        news(line(3, List.of(node.id(), "other#1"), "", 2, 3));
-        legs.get(0).accept(new Courier.Outcome(Courier.Result.DONE, "the seal", ""));
+        news(partition(3, List.of(node.id(), "other#1"), "", 2, 3));
+        attempts.get(0).accept(new DeliveryClient.Outcome(DeliveryClient.Result.DONE, "the seal", ""));
         copyAcknowledges();
         nowUs += 60_000;
         node.tick();
-        sentToPilot.stream().filter(frame -> frame.kind().equals("outcome")).toList().forEach(frame -> node.onFrame("10.0.0.2", frame));
+        sentToControl.stream().filter(frame -> frame.kind().equals("outcome")).toList().forEach(frame -> node.onFrame("10.0.0.2", frame));
         copyAcknowledges();
         var state = look();
         assertThat(state.text("seal")).isEqualTo("the seal");
-        assertThat(legs).hasSize(1);
+        assertThat(attempts).hasSize(1);
     }
 
     @Test
     void anEndOfALeaseThatALaterPrimaryGrantedIsNotForThisOneToRefuse() {
-        sentToPilot.clear();
+        sentToControl.clear();
         for (var kind : List.of("end", "extend")) {
             node.onFrame("10.0.0.9", Frame.of(kind).with("rid", 5).with("line", 0).with("id", "m1").with("lease", "0.2.1").with("result", 200).with("seal", "s"));
             node.onFrame("10.0.0.9", Frame.of(kind).with("rid", 6).with("line", 0).with("id", "m1").with("lease", "0.1.7").with("result", 200).with("seal", "s"));
         }
-        var told = sentToPilot.stream().filter(frame -> frame.kind().equals("end.ok")).map(frame -> frame.number("rid") + " " + frame.number("r")).toList();
+        var told = sentToControl.stream().filter(frame -> frame.kind().equals("end.ok")).map(frame -> frame.number("rid") + " " + frame.number("r")).toList();
         assertThat(told).containsExactly("5 503", "6 409", "5 503", "6 409").inOrder();
     }
 
     @Test
     void anotherMessageOfTheSameNameIsNotToldThatItIsKept() {
-        sentToPilot.clear();
+        sentToControl.clear();
         var same = Frame.of("put").with("l", 0).with("rid", 1).with("i", "m1").with("t", "t").with("h", "h").with("m", "POST").with("p", "/x").with("keep", 90_000_000L).with("b", "the body".getBytes(StandardCharsets.UTF_8));
         node.onFrame("10.0.0.9", Frame.unpack(same.pack()));
         node.onFrame("10.0.0.9", Frame.unpack(same.with("rid", 2).with("t", "other tenant").pack()));
         node.onFrame("10.0.0.9", Frame.unpack(same.with("rid", 3).with("t", "t").with("p", "/y").pack()));
-        var told = sentToPilot.stream().filter(frame -> frame.kind().equals("put.ok")).map(frame -> frame.number("rid") + " " + frame.text("r")).toList();
+        var told = sentToControl.stream().filter(frame -> frame.kind().equals("put.ok")).map(frame -> frame.number("rid") + " " + frame.text("r")).toList();
         assertThat(told).containsExactly("1 kept", "2 no", "3 no").inOrder();
     }
 
@@ -287,7 +287,7 @@
     void aPlaceOlderThanTheEpochInForceTakesNoCopyAway() {
         joinAsk(5);
         rep(5, (5L << 32) + 1, whole("m2", 5));
-        news(line(3, List.of("other#1", "third#1"), "", 2, 3));
+        news(partition(3, List.of("other#1", "third#1"), "", 2, 3));
         rep(5, (5L << 32) + 2, whole("m3", 5));
         assertThat(other("ok")).hasSize(2);
         assertThat(other("rep.no")).isEmpty();
@@ -297,13 +297,13 @@
     @Test
     void aPlaceOlderThanTheEpochInForceMakesNoPrimary() {
         joinAsk(5);
-        news(line(3, List.of(node.id(), "other#1"), "", 2, 3));
+        news(partition(3, List.of(node.id(), "other#1"), "", 2, 3));
         assertThat(node.openEpochs()).isEmpty();
     }
 
     @Test
     void aCopyTellsWhatItHasOnlyWhenThatIsSynced() {
-        news(line(2, List.of("other#1", node.id()), "", 2, 2));
+        news(partition(2, List.of("other#1", node.id()), "", 2, 2));
         stalled = true;
         rep(2, (2L << 32) + 1, whole("m2", 2));
         joinAsk(3);
@@ -314,7 +314,7 @@
 
     @Test
     void aChangeOfWaitingWorkThatACopyLacksIsNotAcknowledged() {
-        news(line(2, List.of("other#1", node.id()), "", 2, 2));
+        news(partition(2, List.of("other#1", node.id()), "", 2, 2));
         sentToOther.clear();
         rep(2, (2L << 32) + 1, new Frame().with("k", "u").with("l", 0).with("i", "m9").with("v", 2L << 20).with("ep", 2L));
         assertThat(other("ok")).isEmpty();
@@ -332,23 +332,23 @@
     void anAskThatComesBeforeTheTableIsAnsweredWhenTheTableComes() throws Exception {
         start(false);
         joinAsk(2);
-        news(line(2, List.of("other#1", node.id()), "", 2, 2));
+        news(partition(2, List.of("other#1", node.id()), "", 2, 2));
         assertThat(other("join.have").stream().map(frame -> frame.number("epoch")).toList()).containsExactly(2L);
         start(false);
         joinAsk(2);
-        news(line(3, List.of("other#1", node.id()), "", 2, 3));
+        news(partition(3, List.of("other#1", node.id()), "", 2, 3));
         assertThat(other("join.have")).isEmpty();
     }
 
     @Test
     void aPrimaryThatMissedAnEpochAsksEveryCopyAgain() {
         rejoin("0.0.1." + (1L << 20), 0, false);
-        sentToPilot.clear();
+        sentToControl.clear();
         sentToOther.clear();
-        news(line(4, List.of(node.id()), "other#1", 1, 4));
+        news(partition(4, List.of(node.id()), "other#1", 1, 4));
         assertThat(other("join.ask")).hasSize(1);
         node.tick();
-        assertThat(sentToPilot.stream().map(Frame::kind).toList()).doesNotContain("line.level");
+        assertThat(sentToControl.stream().map(Frame::kind).toList()).doesNotContain("line.level");
     }
 
     @Test
@@ -357,13 +357,13 @@
         handIn("m2");
         nowUs += 900_000;
         node.tick();
-        assertThat(sentToPilot.stream().map(Frame::kind).toList()).doesNotContain("line.lost");
+        assertThat(sentToControl.stream().map(Frame::kind).toList()).doesNotContain("line.lost");
         for (var step = 0; step < 20; step++) {
             nowUs += 50_000;
             node.tick();
-            claimed();
+            leased();
         }
-        assertThat(sentToPilot.stream().map(Frame::kind).toList()).contains("line.lost");
+        assertThat(sentToControl.stream().map(Frame::kind).toList()).contains("line.lost");
     }
 
     @Test
@@ -373,20 +373,20 @@
             nowUs += 50_000;
             node.tick();
         }
-        assertThat(sentToPilot.stream().map(Frame::kind).toList()).doesNotContain("line.lost");
+        assertThat(sentToControl.stream().map(Frame::kind).toList()).doesNotContain("line.lost");
     }
 
     @Test
     void newsThatBuildsOnATableNeverHeardIsAskedForWhole() throws Exception {
         start(false);
-        claimed();
-        sentToPilot.clear();
-        node.onFrame(PILOT, Frame.unpack(Frame.of("news").with("since", 5L).with("lines", List.of(line(2, List.of("other#1", "third#1"), "", 2, 6).frame())).pack()));
-        assertThat(node.claim().layout().lines()).isEmpty();
-        assertThat(sentToPilot.stream().filter(frame -> frame.kind().equals("claim")).map(frame -> frame.number("lay")).toList()).containsExactly(0L);
+        leased();
+        sentToControl.clear();
+        node.onFrame(CONTROL, Frame.unpack(Frame.of("news").with("since", 5L).with("lines", List.of(partition(2, List.of("other#1", "third#1"), "", 2, 6).frame())).pack()));
+        assertThat(node.clusterLease().view().partitions()).isEmpty();
+        assertThat(sentToControl.stream().filter(frame -> frame.kind().equals("claim")).map(frame -> frame.number("lay")).toList()).containsExactly(0L);
     }
 
-    private void claimed() {
-        node.onFrame(PILOT, Frame.unpack(Frame.of("claim.ok").with("sent", nowUs).with("core", nowUs).with("voters", List.<Object>of(PILOT)).pack()));
+    private void leased() {
+        node.onFrame(CONTROL, Frame.unpack(Frame.of("claim.ok").with("sent", nowUs).with("core", nowUs).with("voters", List.<Object>of(CONTROL)).pack()));
     }
 }
--- a/src/test/java/wellwheel/lantern/JsonLogsTest.java
+++ b/src/test/java/wellwheel/runtime/JsonLogHandlerTest.java
@@ -1,4 +1,4 @@
-package wellwheel.lantern;
+package wellwheel.runtime;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -10,12 +10,12 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
-class JsonLogsTest {
+class JsonLogHandlerTest {
     private static final int THREADS = 4;
     private static final int LINES = 500;
 
     private static void write(int thread) {
-        var log = new JsonLogs().getLogger("t" + thread, JsonLogsTest.class.getModule());
+        var log = new JsonLogHandler().getLogger("t" + thread, JsonLogHandlerTest.class.getModule());
         for (var line = 0; line < LINES; line++) {
             log.log(System.Logger.Level.INFO, "line \"" + thread + "-" + line + "\"" + "x".repeat(line % 300));
         }
--- a/src/test/java/wellwheel/lantern/HandClock.java
+++ b/src/test/java/wellwheel/runtime/ManualClock.java
@@ -1,6 +1,6 @@
-package wellwheel.lantern;
+package wellwheel.runtime;
 
-public final class HandClock implements Clock {
+public final class ManualClock implements Clock {
     public long nowUs = 10_000_000;
 
     @Override
--- a/src/test/java/wellwheel/tide/Copies.java
+++ b/src/test/java/wellwheel/simulation/CopyChecker.java
@@ -1,5 +1,9 @@
-package wellwheel.tide;
+package wellwheel.simulation;
 
+import wellwheel.cluster.ClusterView;
+import wellwheel.storage.Disk;
+import wellwheel.storage.Journal;
+import wellwheel.transport.Frame;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,30 +14,26 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import wellwheel.lantern.Disk;
-import wellwheel.lantern.Frame;
-import wellwheel.lantern.Journal;
-import wellwheel.lantern.Layout;
 
-final class Copies implements World.DiskEar {
+final class CopyChecker implements World.DiskListener {
     static final long CATCH_UP_US = 4_100_000;
     private static final byte SEALED = (byte) 0xC1;
 
     private static final class Held {
         String diskId = "";
-        final Map<Integer, Set<String>> lines = new HashMap<>();
+        final Map<Integer, Set<String>> partitions = new HashMap<>();
     }
 
-    private final Play play;
+    private final Scenario play;
     private final int survive;
     private final Map<String, Held> disks = new HashMap<>();
     private final Map<String, Long> lostUntilUs = new HashMap<>();
-    private final Map<Integer, Layout.Line> table = new TreeMap<>();
-    private final Map<Integer, List<Ledger.Entry>> owed = new HashMap<>();
+    private final Map<Integer, ClusterView.Partition> table = new TreeMap<>();
+    private final Map<Integer, List<HistoryChecker.Entry>> owed = new HashMap<>();
     final Set<String> faults = new LinkedHashSet<>();
     int checked;
 
-    Copies(Play play, int survive) {
+    CopyChecker(Scenario play, int survive) {
         this.play = play;
         this.survive = survive;
         play.world.onDisk(this);
@@ -91,9 +91,9 @@
 
     private static int number(ByteBuffer buffer) {
         var value = 0;
-        for (var shift = 0; ; shift += 7) {
+        for (var rollout = 0; ; rollout += 7) {
             var next = buffer.get();
-            value |= (next & 0x7F) << shift;
+            value |= (next & 0x7F) << rollout;
             if (next >= 0) {
                 return value;
             }
@@ -103,9 +103,9 @@
     private static void take(Held held, Frame record) {
         switch (record.kind()) {
             case "disk" -> held.diskId = record.text("id");
-            case "m" -> held.lines.computeIfAbsent(record.small("l"), line -> new HashSet<>()).add(record.text("i"));
-            case "f" -> held.lines.remove(record.small("line"));
-            case "x" -> held.lines.getOrDefault(record.small("line"), new HashSet<>()).remove(record.text("id"));
+            case "m" -> held.partitions.computeIfAbsent(record.small("l"), partition -> new HashSet<>()).add(record.text("i"));
+            case "f" -> held.partitions.remove(record.small("line"));
+            case "x" -> held.partitions.getOrDefault(record.small("line"), new HashSet<>()).remove(record.text("id"));
             default -> { }
         }
     }
@@ -130,32 +130,32 @@
 
     void check() {
         play.oneActs();
-        play.world.upHosts("pilot").forEach(host -> host.pilot().lines().forEach((number, line) -> table.merge(number, line, (a, b) -> a.epoch() >= b.epoch() ? a : b)));
+        play.world.upHosts("control").forEach(host -> host.control().partitions().forEach((number, partition) -> table.merge(number, partition, (a, b) -> a.epoch() >= b.epoch() ? a : b)));
         if (checked++ % 10 == 0) {
             owed.clear();
-            play.ledger.entries.values().stream().filter(Copies::unended).forEach(entry -> owed.computeIfAbsent(lineOf(entry), line -> new ArrayList<>()).add(entry));
+            play.checker.entries.values().stream().filter(CopyChecker::unended).forEach(entry -> owed.computeIfAbsent(partitionOf(entry), partition -> new ArrayList<>()).add(entry));
         }
         var lost = lost();
         owed.forEach((number, entries) -> check(table.get(number), entries, lost));
     }
 
-    private static boolean unended(Ledger.Entry entry) {
+    private static boolean unended(HistoryChecker.Entry entry) {
         return entry.acceptedUs < Long.MAX_VALUE && entry.successes == 0 && entry.fails == 0;
     }
 
-    private static int lineOf(Ledger.Entry entry) {
+    private static int partitionOf(HistoryChecker.Entry entry) {
         return Integer.parseInt(entry.name.substring(0, entry.name.indexOf('-')));
     }
 
-    private void check(Layout.Line line, List<Ledger.Entry> entries, Set<String> lost) {
+    private void check(ClusterView.Partition partition, List<HistoryChecker.Entry> entries, Set<String> lost) {
         var safe = new int[entries.size()];
-        for (var id : line.copies()) {
+        for (var id : partition.copies()) {
             var node = id.substring(0, id.indexOf('#'));
-            var held = Optional.ofNullable(disks.get(node)).filter(disk -> id.endsWith("#" + disk.diskId)).map(disk -> disk.lines.getOrDefault(line.number(), Set.of()));
+            var held = Optional.ofNullable(disks.get(node)).filter(disk -> id.endsWith("#" + disk.diskId)).map(disk -> disk.partitions.getOrDefault(partition.number(), Set.of()));
             for (var at = 0; held.isPresent() && at < safe.length; at++) {
                 var entry = entries.get(at);
                 if (!held.get().contains(entry.id) && unended(entry)) {
-                    fault("HOLLOW " + line + ": " + id + " counts as a copy and lacks " + entry.id);
+                    fault("HOLLOW " + partition + ": " + id + " counts as a copy and lacks " + entry.id);
                 }
                 safe[at] += held.get().contains(entry.id) && !lost.contains(node) ? 1 : 0;
             }
@@ -163,7 +163,7 @@
         var least = Math.max(1, survive - lost.size() + 1);
         for (var at = 0; at < safe.length; at++) {
             if (safe[at] < least && unended(entries.get(at))) {
-                fault("THIN " + line + ": " + safe[at] + " of " + least + " copies of " + entries.get(at).id + ", lost " + lost);
+                fault("THIN " + partition + ": " + safe[at] + " of " + least + " copies of " + entries.get(at).id + ", lost " + lost);
             }
         }
     }
--- a/src/test/java/wellwheel/tide/DaysTest.java
+++ b/src/test/java/wellwheel/simulation/DaysTest.java
@@ -1,4 +1,4 @@
-package wellwheel.tide;
+package wellwheel.simulation;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
--- a/src/test/java/wellwheel/tide/FleetTest.java
+++ b/src/test/java/wellwheel/simulation/FleetTest.java
@@ -1,14 +1,14 @@
-package wellwheel.tide;
+package wellwheel.simulation;
 
 import static com.google.common.truth.Truth.assertThat;
 
 import org.junit.jupiter.api.Test;
 
 class FleetTest {
-    private static Fleet fleet(int galleries, int keepers, double perS) {
+    private static Fleet fleet(int edges, int storageNodes, double perS) {
         var fleet = new Fleet();
-        fleet.galleries = galleries;
-        fleet.keepers = keepers;
+        fleet.edges = edges;
+        fleet.storageNodes = storageNodes;
         fleet.perS = perS;
         fleet.seconds = 4;
         return fleet;
@@ -20,26 +20,26 @@
 
     @Test
     void anIdleNodeCostsTheSameInALargerFleet() {
-        var small = row(fleet(24, 9, 0), "gallery");
-        var large = row(fleet(72, 9, 0), "gallery");
+        var small = row(fleet(24, 9, 0), "edge");
+        var large = row(fleet(72, 9, 0), "edge");
         assertThat(large.bytesOutPerS() + large.bytesInPerS()).isAtMost(1.2 * (small.bytesOutPerS() + small.bytesInPerS()));
         assertThat(large.wakeUpsPerS()).isAtMost(1.2 * small.wakeUpsPerS());
         assertThat(large.bytesInPerS()).isAtMost(2500);
     }
 
     @Test
-    void anIdleKeeperCostsTheSameInALargerFleet() {
-        var small = row(fleet(24, 6, 0), "keeper");
-        var large = row(fleet(24, 36, 0), "keeper");
+    void anIdleStorageCostsTheSameInALargerFleet() {
+        var small = row(fleet(24, 6, 0), "storage");
+        var large = row(fleet(24, 36, 0), "storage");
         assertThat(large.bytesOutPerS() + large.bytesInPerS()).isAtMost(1.2 * (small.bytesOutPerS() + small.bytesInPerS()));
     }
 
     @Test
     void urgentHitsOfOneZoneDoNotMakeTheOthersUrgent() {
         var fleet = fleet(36, 9, 300);
-        var gallery = row(fleet, "gallery");
+        var edge = row(fleet, "edge");
         assertThat(fleet.acceptedCount()).isAtLeast(1000L);
-        assertThat(gallery.framesInPerS()).isAtMost(60);
-        assertThat(fleet.bytesPerSecond().keySet()).contains("gallery>gallery hits.down");
+        assertThat(edge.framesInPerS()).isAtMost(60);
+        assertThat(fleet.bytesPerSecond().keySet()).contains("edge>edge hits.down");
     }
 }
--- a/src/test/java/wellwheel/tide/Ledger.java
+++ b/src/test/java/wellwheel/simulation/HistoryChecker.java
@@ -1,5 +1,7 @@
-package wellwheel.tide;
+package wellwheel.simulation;
 
+import wellwheel.cluster.ClusterView;
+import wellwheel.queue.DeliveryClient;
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.nio.charset.StandardCharsets;
@@ -11,10 +13,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import wellwheel.keeper.Courier;
-import wellwheel.lantern.Layout;
 
-final class Ledger implements World.Processors {
+final class HistoryChecker implements World.Processors {
     static final String HOST = "line.example";
 
     static final class Entry {
@@ -88,18 +88,18 @@
         return !newHow.equals("well");
     }
 
-    List<Layout.Processor> roster() {
+    List<ClusterView.Processor> roster() {
         var all = new ArrayList<>(steadyRoster());
         if (newListed) {
-            all.add(new Layout.Processor("p5", "book", "10.8.0.5:80", "north", 6, false, 0, "v2"));
-            all.add(new Layout.Processor("p6", "notice", "10.8.0.6:80", "east", 9, false, 0, "v2"));
+            all.add(new ClusterView.Processor("p5", "book", "10.8.0.5:80", "north", 6, false, 0, "v2"));
+            all.add(new ClusterView.Processor("p6", "notice", "10.8.0.6:80", "east", 9, false, 0, "v2"));
         }
         return all;
     }
 
-    private static List<Layout.Processor> steadyRoster() {
-        return List.of(new Layout.Processor("p1", "book", "10.8.0.1:80", "north", 6, false, 0, "v1"), new Layout.Processor("p2", "book", "10.8.0.2:80", "east", 6, false, 0, "v1"),
-            new Layout.Processor("p3", "notice", "10.8.0.3:80", "north", 9, false, 0, "v1"), new Layout.Processor("p4", "notice", "10.8.0.4:80", "east", 9, false, 0, "v1"));
+    private static List<ClusterView.Processor> steadyRoster() {
+        return List.of(new ClusterView.Processor("p1", "book", "10.8.0.1:80", "north", 6, false, 0, "v1"), new ClusterView.Processor("p2", "book", "10.8.0.2:80", "east", 6, false, 0, "v1"),
+            new ClusterView.Processor("p3", "notice", "10.8.0.3:80", "north", 9, false, 0, "v1"), new ClusterView.Processor("p4", "notice", "10.8.0.4:80", "east", 9, false, 0, "v1"));
     }
 
     void starts(Entry entry, long nowUs) {
@@ -123,50 +123,50 @@
 
     @Override
     public long workUs() {
-        return 20_000 + world.luck().nextInt(30_000);
+        return 20_000 + world.random().nextInt(30_000);
     }
 
     @Override
-    public Optional<Courier.Outcome> run(Courier.Leg leg, long nowUs) {
-        if (leg.address().equals("10.9.0.9:80")) {
+    public Optional<DeliveryClient.Outcome> run(DeliveryClient.Attempt attempt, long nowUs) {
+        if (attempt.address().equals("10.9.0.9:80")) {
             endpointArrivals.add(nowUs);
         }
         if (nowUs < darkUntilUs) {
             return Optional.empty();
         }
-        var entry = entries.get(leg.id());
+        var entry = entries.get(attempt.id());
         if (entry == null) {
-            faults.add("UNASKED " + leg.id());
+            faults.add("UNASKED " + attempt.id());
             return Optional.empty();
         }
         if (entry.successes > 0 && entry.service.equals("book")) {
-            return Optional.of(new Courier.Outcome(Courier.Result.DONE, entry.seals.iterator().next(), "1,0,6"));
+            return Optional.of(new DeliveryClient.Outcome(DeliveryClient.Result.DONE, entry.seals.iterator().next(), "1,0,6"));
         }
-        if (List.of("p5", "p6").contains(leg.processorId()) && onNew(entry)) {
+        if (List.of("p5", "p6").contains(attempt.processorId()) && onNew(entry)) {
             return failing(entry, nowUs);
         }
-        var luck = world.luck().nextDouble();
-        if (luck < 0.01) {
-            return Optional.of(new Courier.Outcome(Courier.Result.NOT_RUN, "", ""));
+        var random = world.random().nextDouble();
+        if (random < 0.01) {
+            return Optional.of(new DeliveryClient.Outcome(DeliveryClient.Result.NOT_RUN, "", ""));
         }
         starts(entry, nowUs);
-        if (luck < 0.04) {
+        if (random < 0.04) {
             entry.fails++;
-            return Optional.of(new Courier.Outcome(Courier.Result.FAILED, "", ""));
+            return Optional.of(new DeliveryClient.Outcome(DeliveryClient.Result.FAILED, "", ""));
         }
         var seal = "seal-" + entry.id + "-" + entry.successes;
         succeeds(entry, seal, nowUs);
-        entry.answerLost |= luck < 0.04 + lossShare;
-        return luck < 0.04 + lossShare ? Optional.empty() : Optional.of(new Courier.Outcome(Courier.Result.DONE, seal, "1,0,6"));
+        entry.answerLost |= random < 0.04 + lossShare;
+        return random < 0.04 + lossShare ? Optional.empty() : Optional.of(new DeliveryClient.Outcome(DeliveryClient.Result.DONE, seal, "1,0,6"));
     }
 
-    private Optional<Courier.Outcome> failing(Entry entry, long nowUs) {
+    private Optional<DeliveryClient.Outcome> failing(Entry entry, long nowUs) {
         if (newHow.equals("fails")) {
             starts(entry, nowUs);
             entry.fails++;
-            return Optional.of(new Courier.Outcome(Courier.Result.FAILED, "", ""));
+            return Optional.of(new DeliveryClient.Outcome(DeliveryClient.Result.FAILED, "", ""));
         }
-        return newHow.equals("silent") ? Optional.empty() : Optional.of(new Courier.Outcome(Courier.Result.UNKNOWN, "", ""));
+        return newHow.equals("silent") ? Optional.empty() : Optional.of(new DeliveryClient.Outcome(DeliveryClient.Result.UNKNOWN, "", ""));
     }
 
     void succeeds(Entry entry, String seal, long nowUs) {
--- a/src/test/java/wellwheel/tide/HistoryTest.java
+++ b/src/test/java/wellwheel/simulation/HistoryTest.java
@@ -1,5 +1,6 @@
-package wellwheel.tide;
+package wellwheel.simulation;
 
+import wellwheel.runtime.ResultCode;
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.gson.JsonObject;
@@ -10,25 +11,24 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import wellwheel.lantern.Codes;
 
 class HistoryTest {
-    private static final long SECOND = Play.SECOND;
+    private static final long SECOND = Scenario.SECOND;
 
-    private static Play play(long seed) {
-        var play = new Play(seed);
+    private static Scenario play(long seed) {
+        var play = new Scenario(seed);
         play.world.withHistory();
         return play.up();
     }
 
-    private static JsonObject read(Play play) {
+    private static JsonObject read(Scenario play) {
         for (var wait = 0; wait < 20 && play.world.leader().isEmpty(); wait++) {
             play.run(SECOND / 2);
         }
         var found = new ArrayList<JsonObject>();
         var nowUs = play.world.nowUs() + 1_700_000_000_000_000L;
-        play.world.leader().orElseThrow().pilot().history(nowUs - 3_600 * SECOND, nowUs + 3_600 * SECOND, reply -> {
-            assertThat(reply.code()).isEqualTo(Codes.FINE);
+        play.world.leader().orElseThrow().control().history(nowUs - 3_600 * SECOND, nowUs + 3_600 * SECOND, reply -> {
+            assertThat(reply.code()).isEqualTo(ResultCode.FINE);
             found.add(JsonParser.parseString(new String(reply.body(), StandardCharsets.UTF_8)).getAsJsonObject());
         });
         play.run(4 * SECOND);
@@ -44,8 +44,8 @@
         return total;
     }
 
-    private static long accepted(Play play, String service) {
-        return play.ledger.entries.values().stream().filter(entry -> entry.service.equals(service) && entry.acceptedUs < Long.MAX_VALUE).count();
+    private static long accepted(Scenario play, String service) {
+        return play.checker.entries.values().stream().filter(entry -> entry.service.equals(service) && entry.acceptedUs < Long.MAX_VALUE).count();
     }
 
     @ParameterizedTest
@@ -55,7 +55,7 @@
         play.load(10 * SECOND);
         play.run(13 * SECOND);
         for (var hit = 0; hit < 200; hit++) {
-            play.handIn(play.anyGallery(), "quote", "", "hot", "hot-key", 0);
+            play.handIn(play.anyEdge(), "quote", "", "hot", "hot-key", 0);
         }
         play.run(8 * SECOND);
         var first = read(play);
@@ -67,7 +67,7 @@
             assertThat(sum(first, service, "Finished") + sum(first, service, "Failed")).isEqualTo(accepted(play, service));
             assertThat(sum(first, service, "SlotUs")).isGreaterThan(0L);
         }
-        assertThat(sum(first, "quote", "Refused")).isEqualTo(play.ledger.entries.values().stream().filter(entry -> entry.promisedNotToRun).count());
+        assertThat(sum(first, "quote", "Refused")).isEqualTo(play.checker.entries.values().stream().filter(entry -> entry.promisedNotToRun).count());
         assertThat(sum(first, "quote", "Refused")).isAtLeast(5L);
         assertThat(first.getAsJsonArray("Silent")).isEmpty();
     }
@@ -79,7 +79,7 @@
         play.load(20 * SECOND);
         play.run(8 * SECOND);
         var before = read(play);
-        play.world.wipe(play.world.hosts("keeper").get(1), SECOND);
+        play.world.wipe(play.world.hosts("storage").get(1), SECOND);
         play.run(25 * SECOND);
         var after = read(play);
         for (var service : List.of("quote", "book", "notice")) {
@@ -98,7 +98,7 @@
         play.load(8 * SECOND);
         play.run(12 * SECOND);
         var whole = read(play);
-        var away = play.world.hosts("keeper").get(2);
+        var away = play.world.hosts("storage").get(2);
         play.world.freeze(away, 700_000);
         var soon = read(play);
         assertThat(soon.getAsJsonArray("Silent")).isEmpty();
@@ -113,9 +113,9 @@
     @Test
     void aRangeThatIsNoneIsRefused() {
         var play = play(6);
-        var codes = new ArrayList<Codes>();
-        play.world.leader().orElseThrow().pilot().history(5, 5, reply -> codes.add(reply.code()));
-        play.world.leader().orElseThrow().pilot().history(0, 500L * 86_400_000_000L, reply -> codes.add(reply.code()));
-        assertThat(codes).containsExactly(Codes.BAD_RANGE, Codes.BAD_RANGE);
+        var codes = new ArrayList<ResultCode>();
+        play.world.leader().orElseThrow().control().history(5, 5, reply -> codes.add(reply.code()));
+        play.world.leader().orElseThrow().control().history(0, 500L * 86_400_000_000L, reply -> codes.add(reply.code()));
+        assertThat(codes).containsExactly(ResultCode.BAD_RANGE, ResultCode.BAD_RANGE);
     }
 }
--- a/src/test/java/wellwheel/tide/LinesTest.java
+++ b/src/test/java/wellwheel/simulation/PartitionsTest.java
@@ -1,5 +1,7 @@
-package wellwheel.tide;
+package wellwheel.simulation;
 
+import wellwheel.cluster.ClusterView;
+import wellwheel.runtime.ResultCode;
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
@@ -12,24 +14,22 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import wellwheel.lantern.Codes;
-import wellwheel.lantern.Layout;
 
-class LinesTest {
-    private static final long SECOND = Play.SECOND;
+class PartitionsTest {
+    private static final long SECOND = Scenario.SECOND;
 
     private static final class Days {
-        final Play play;
-        final Copies copies;
+        final Scenario play;
+        final CopyChecker copies;
         final int survive;
         private Optional<World.Host> retiring = Optional.empty();
         private int joined;
         private long untilUs;
 
         Days(long seed, World.Shape shape) {
-            play = new Play(seed, shape);
+            play = new Scenario(seed, shape);
             survive = shape.survive();
-            copies = new Copies(play, survive);
+            copies = new CopyChecker(play, survive);
             play.up();
             if (survive == 1) {
                 join();
@@ -38,12 +38,12 @@
             work(60 * SECOND);
         }
 
-        int luck(int most) {
-            return play.world.luck().nextInt(most);
+        int random(int most) {
+            return play.world.random().nextInt(most);
         }
 
         void join() {
-            play.world.join("storage-" + (20 + joined++), "keeper", List.of("north", "east", "south").get(luck(3)));
+            play.world.join("storage-" + (20 + joined++), "storage", List.of("north", "east", "south").get(random(3)));
         }
 
         void work(long spanUs) {
@@ -53,23 +53,23 @@
 
         private void trickle() {
             if (play.world.nowUs() < untilUs) {
-                play.handIn(play.anyGallery(), luck(2) == 0 ? "quote" : "notice", "", "acme", play.key, luck(2) == 0 ? 0 : 45_000);
-                play.world.after(20_000 + luck(20_000), this::trickle);
+                play.handIn(play.anyEdge(), random(2) == 0 ? "quote" : "notice", "", "acme", play.key, random(2) == 0 ? 0 : 45_000);
+                play.world.after(20_000 + random(20_000), this::trickle);
             }
         }
 
         List<World.Host> sound() {
             var lost = copies.lost();
-            var all = new ArrayList<>(play.world.upHosts("keeper").stream().filter(host -> !lost.contains(host.name)).toList());
-            Collections.shuffle(all, play.world.luck());
+            var all = new ArrayList<>(play.world.upHosts("storage").stream().filter(host -> !lost.contains(host.name)).toList());
+            Collections.shuffle(all, play.world.random());
             return all;
         }
 
         void harm(World.Host host) {
-            var spanUs = 200_000 + luck(2_300_000);
-            switch (luck(7)) {
-                case 0 -> wipe(host, 300_000 + luck(700_000));
-                case 1 -> replace(host, luck(800_000));
+            var spanUs = 200_000 + random(2_300_000);
+            switch (random(7)) {
+                case 0 -> wipe(host, 300_000 + random(700_000));
+                case 1 -> replace(host, random(800_000));
                 case 2 -> {
                     copies.loses(host, 600_000);
                     play.world.kill(host);
@@ -84,7 +84,7 @@
                 }
                 case 5 -> {
                     copies.loses(host, spanUs + 300_000);
-                    play.world.slowDisk(host, 1_000 + luck(3_000));
+                    play.world.slowDisk(host, 1_000 + random(3_000));
                     play.world.after(spanUs, () -> play.world.slowDisk(host, 1));
                 }
                 default -> {
@@ -95,13 +95,13 @@
         }
 
         private void harmControl(int room) {
-            if (room < 1 || luck(4) > 0) {
+            if (room < 1 || random(4) > 0) {
                 return;
             }
-            var host = play.world.leader().filter(leader -> luck(2) == 0).orElse(play.world.upHosts("pilot").get(0));
-            var spanUs = 200_000 + luck(2_300_000);
+            var host = play.world.leader().filter(leader -> random(2) == 0).orElse(play.world.upHosts("control").get(0));
+            var spanUs = 200_000 + random(2_300_000);
             copies.loses(host, spanUs + 600_000);
-            switch (luck(3)) {
+            switch (random(3)) {
                 case 0 -> play.world.kill(host);
                 case 1 -> play.world.freeze(host, spanUs);
                 default -> play.world.cutOff(host, spanUs);
@@ -128,17 +128,17 @@
         void round() {
             var room = copies.room();
             harmControl(room);
-            sound().stream().limit(Math.max(0, luck(4) == 0 ? copies.room() - 1 : copies.room())).forEach(this::harm);
-            if (luck(3) == 0) {
+            sound().stream().limit(Math.max(0, random(4) == 0 ? copies.room() - 1 : copies.room())).forEach(this::harm);
+            if (random(3) == 0) {
                 order();
             }
-            if (luck(4) == 0) {
+            if (random(4) == 0) {
                 var late = sound().get(0);
-                play.world.lagNews(late, 20_000 + luck(500_000));
+                play.world.lagNews(late, 20_000 + random(500_000));
                 play.world.after(3 * SECOND, () -> play.world.lagNews(late, 0));
             }
-            for (var step = 0; step < 40 && (step < 4 || copies.room() < 1 + luck(survive)); step++) {
-                copies.run(100_000 + luck(100_000));
+            for (var step = 0; step < 40 && (step < 4 || copies.room() < 1 + random(survive)); step++) {
+                copies.run(100_000 + random(100_000));
                 tendRetiring();
             }
         }
@@ -148,10 +148,10 @@
                 return;
             }
             var host = sound().get(0);
-            var codes = new ArrayList<Codes>();
-            play.world.leader().get().pilot().retire(host.name, reply -> codes.add(reply.code()));
+            var codes = new ArrayList<ResultCode>();
+            play.world.leader().get().control().retire(host.name, reply -> codes.add(reply.code()));
             copies.run(200_000);
-            if (codes.equals(List.of(Codes.FINE))) {
+            if (codes.equals(List.of(ResultCode.FINE))) {
                 retiring = Optional.of(host);
                 join();
             }
@@ -159,7 +159,7 @@
 
         private void tendRetiring() {
             var told = new ArrayList<String>();
-            retiring.ifPresent(host -> play.world.leader().ifPresent(leader -> leader.pilot().retireState(host.name, reply -> told.add(new String(reply.body())))));
+            retiring.ifPresent(host -> play.world.leader().ifPresent(leader -> leader.control().retireState(host.name, reply -> told.add(new String(reply.body())))));
             copies.run(20_000);
             if (told.stream().anyMatch(state -> state.contains("finished"))) {
                 drop(retiring.get());
@@ -194,7 +194,7 @@
 
     private static void knowTheTable(Days days) {
         var table = table(days);
-        days.play.world.upHosts("keeper").forEach(host -> table.forEach((number, line) -> assertWithMessage(host.name).that(host.keeper().claim().layout().line(number)).isEqualTo(Optional.of(line))));
+        days.play.world.upHosts("storage").forEach(host -> table.forEach((number, partition) -> assertWithMessage(host.name).that(host.storage().clusterLease().view().partition(number)).isEqualTo(Optional.of(partition))));
     }
 
     @ParameterizedTest
@@ -212,12 +212,12 @@
         days.fine();
     }
 
-    private static Map<Integer, Layout.Line> table(Days days) {
-        return days.play.world.leader().orElseThrow().pilot().lines();
+    private static Map<Integer, ClusterView.Partition> table(Days days) {
+        return days.play.world.leader().orElseThrow().control().partitions();
     }
 
-    private static boolean namesIts(Layout.Line line, World.Host host) {
-        return line.copies().stream().anyMatch(id -> id.startsWith(host.name + "#"));
+    private static boolean namesIts(ClusterView.Partition partition, World.Host host) {
+        return partition.copies().stream().anyMatch(id -> id.startsWith(host.name + "#"));
     }
 
     @ParameterizedTest
@@ -228,7 +228,7 @@
         var before = table(days);
         var sick = days.sound().get(0);
         for (var burst = 0; burst < 200; burst++) {
-            days.play.handIn(days.play.anyGallery(), "quote", "", "acme", days.play.key, 45_000);
+            days.play.handIn(days.play.anyEdge(), "quote", "", "acme", days.play.key, 45_000);
         }
         days.copies.run(2_500);
         days.copies.loses(sick, 900_000);
@@ -239,7 +239,7 @@
         }
         for (var step = 0; step < 30; step++) {
             days.copies.run(100_000);
-            table(days).values().stream().filter(line -> line.primary().startsWith(sick.name + "#")).forEach(line -> assertWithMessage("%s", line).that(line.copies()).isEqualTo(before.get(line.number()).copies()));
+            table(days).values().stream().filter(partition -> partition.primary().startsWith(sick.name + "#")).forEach(partition -> assertWithMessage("%s", partition).that(partition.copies()).isEqualTo(before.get(partition.number()).copies()));
         }
         days.fine();
     }
@@ -249,19 +249,19 @@
     void aRetirementEndsOnlyWhenEveryLineHasAllItsCopiesElsewhere(long seed) {
         var days = new Days(seed, World.Shape.four());
         days.copies.run(2 * SECOND);
-        var codes = new ArrayList<Codes>();
+        var codes = new ArrayList<ResultCode>();
         var goer = days.sound().get(0);
         days.copies.loses(goer, 2 * SECOND);
         days.play.world.freeze(goer, 2 * SECOND);
-        days.play.world.leader().orElseThrow().pilot().retire(goer.name, reply -> codes.add(reply.code()));
+        days.play.world.leader().orElseThrow().control().retire(goer.name, reply -> codes.add(reply.code()));
         var state = "";
         for (var step = 0; step < 400 && !state.contains("finished"); step++) {
             days.copies.run(5_000);
             state = days.play.retireState(goer.name);
         }
-        assertThat(codes).containsExactly(Codes.FINE);
+        assertThat(codes).containsExactly(ResultCode.FINE);
         assertThat(state).contains("finished");
-        table(days).values().forEach(line -> assertWithMessage("%s", line).that(line.copies().size() >= 3 && !namesIts(line, goer)).isTrue());
+        table(days).values().forEach(partition -> assertWithMessage("%s", partition).that(partition.copies().size() >= 3 && !namesIts(partition, goer)).isTrue());
         days.fine();
     }
 
@@ -276,10 +276,10 @@
         days.play.world.slowDisk(slow, 3_000);
         days.wipe(two.get(0), 300_000);
         days.copies.run(1_400_000);
-        assertThat(table(days).values().stream().anyMatch(line -> line.joining().startsWith(slow.name + "#"))).isTrue();
+        assertThat(table(days).values().stream().anyMatch(partition -> partition.joining().startsWith(slow.name + "#"))).isTrue();
         days.play.world.term(slow);
         days.copies.run(SECOND);
-        assertThat(table(days).values().stream().filter(line -> line.joining().startsWith(slow.name + "#")).toList()).isEmpty();
+        assertThat(table(days).values().stream().filter(partition -> partition.joining().startsWith(slow.name + "#")).toList()).isEmpty();
         days.fine();
     }
 
@@ -289,16 +289,16 @@
         var days = new Days(seed, World.Shape.three());
         days.copies.run(3 * SECOND);
         var one = table(days).get((int) seed % 48);
-        var two = days.play.world.hosts("keeper").stream().filter(host -> namesIts(one, host)).toList();
+        var two = days.play.world.hosts("storage").stream().filter(host -> namesIts(one, host)).toList();
         days.play.world.cutPair(two.get(0), two.get(1), 3 * SECOND);
-        for (var step = 0; step < 400 && table(days).values().stream().noneMatch(line -> line.copies().size() == 1); step++) {
+        for (var step = 0; step < 400 && table(days).values().stream().noneMatch(partition -> partition.copies().size() == 1); step++) {
             days.copies.run(10_000);
         }
-        var alone = table(days).values().stream().filter(line -> line.copies().size() == 1).findFirst().orElseThrow();
+        var alone = table(days).values().stream().filter(partition -> partition.copies().size() == 1).findFirst().orElseThrow();
         days.wipe(two.stream().filter(host -> namesIts(alone, host)).findFirst().orElseThrow(), SECOND / 2);
         days.untilUs = 0;
         days.play.run(6 * SECOND);
         var told = days.play.states();
-        days.play.ledger.entries.values().stream().filter(entry -> entry.acceptedUs < Long.MAX_VALUE && entry.successes == 0).forEach(entry -> assertWithMessage(entry.id).that(told).containsKey(entry.id));
+        days.play.checker.entries.values().stream().filter(entry -> entry.acceptedUs < Long.MAX_VALUE && entry.successes == 0).forEach(entry -> assertWithMessage(entry.id).that(told).containsKey(entry.id));
     }
 }
--- a/src/test/java/wellwheel/tide/Play.java
+++ b/src/test/java/wellwheel/simulation/Scenario.java
@@ -1,5 +1,8 @@
-package wellwheel.tide;
+package wellwheel.simulation;
 
+import wellwheel.control.ControlNode;
+import wellwheel.runtime.ResultCode;
+import wellwheel.transport.Exchange;
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
@@ -12,15 +15,12 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import wellwheel.lantern.Codes;
-import wellwheel.lantern.Exchange;
-import wellwheel.pilot.PilotNode;
 
-final class Play {
+final class Scenario {
     static final long SECOND = 1_000_000;
     private static final long UNTOLD_US = 100_000;
 
-    final Ledger ledger = new Ledger();
+    final HistoryChecker checker = new HistoryChecker();
     final World world;
     long sent;
     long stopSendingUs;
@@ -30,22 +30,22 @@
     int padBytes;
     int unconfirmed;
 
-    Play(long seed) {
+    Scenario(long seed) {
         this(seed, World.Shape.three());
     }
 
-    Play(long seed, World.Shape shape) {
-        world = new World(shape, seed, ledger);
-        ledger.world = world;
+    Scenario(long seed, World.Shape shape) {
+        world = new World(shape, seed, checker);
+        checker.world = world;
     }
 
-    Play up() {
+    Scenario up() {
         feedRoster();
         world.runFor(5 * SECOND);
-        var taken = new ArrayList<Codes>();
-        world.configure(Ledger.config(1, key, 4).getBytes(StandardCharsets.UTF_8), 0, reply -> taken.add(reply.code()));
+        var taken = new ArrayList<ResultCode>();
+        world.configure(HistoryChecker.config(1, key, 4).getBytes(StandardCharsets.UTF_8), 0, reply -> taken.add(reply.code()));
         world.runFor(2 * SECOND);
-        assertThat(taken).containsExactly(Codes.FINE);
+        assertThat(taken).containsExactly(ResultCode.FINE);
         for (var slot = 0; slot < 24; slot++) {
             worker();
         }
@@ -53,13 +53,13 @@
     }
 
     void feedRoster() {
-        world.leader().ifPresent(host -> host.pilot().roster(ledger.roster()));
+        world.leader().ifPresent(host -> host.control().roster(checker.roster()));
         world.after(300_000, this::feedRoster);
     }
 
-    World.Host anyGallery() {
-        var all = world.hosts("gallery");
-        return all.get(world.luck().nextInt(all.size()));
+    World.Host anyEdge() {
+        var all = world.hosts("edge");
+        return all.get(world.random().nextInt(all.size()));
     }
 
     void load(long spanUs) {
@@ -71,28 +71,28 @@
         if (world.nowUs() >= stopSendingUs) {
             return;
         }
-        var service = List.of("quote", "quote", "book", "carrier", "notice", "notice").get(world.luck().nextInt(6));
+        var service = List.of("quote", "quote", "book", "carrier", "notice", "notice").get(world.random().nextInt(6));
         if (!service.equals("carrier") || sent % 3 == 0) {
-            handIn(service, service.equals("book") ? "thing-" + world.luck().nextInt(12) : "");
+            handIn(service, service.equals("book") ? "thing-" + world.random().nextInt(12) : "");
         }
         sent++;
-        world.after(4_000 + world.luck().nextInt(7_000), this::hand);
+        world.after(4_000 + world.random().nextInt(7_000), this::hand);
     }
 
     void handIn(String service, String orderKey) {
-        handIn(anyGallery(), service, orderKey, "acme", key, 0);
+        handIn(anyEdge(), service, orderKey, "acme", key, 0);
     }
 
-    void handIn(World.Host gallery, String service, String orderKey, String tenant, String tenantKey, long delayMs) {
-        handIn(gallery, service, orderKey, tenant, tenantKey, delayMs, List.of(), entry -> { });
+    void handIn(World.Host edge, String service, String orderKey, String tenant, String tenantKey, long delayMs) {
+        handIn(edge, service, orderKey, tenant, tenantKey, delayMs, List.of(), entry -> { });
     }
 
-    Ledger.Entry handIn(World.Host gallery, String service, String orderKey, String tenant, String tenantKey, long delayMs, List<Ledger.Entry> after, Consumer<Ledger.Entry> kept) {
-        var entry = new Ledger.Entry("m" + ledger.entries.size(), service, orderKey, world.nowUs());
+    HistoryChecker.Entry handIn(World.Host edge, String service, String orderKey, String tenant, String tenantKey, long delayMs, List<HistoryChecker.Entry> after, Consumer<HistoryChecker.Entry> kept) {
+        var entry = new HistoryChecker.Entry("m" + checker.entries.size(), service, orderKey, world.nowUs());
         entry.body = Arrays.copyOf(entry.body, Math.max(entry.body.length, padBytes));
-        ledger.entries.put(entry.id, entry);
-        ledger.byKey.computeIfAbsent(orderKey, k -> new ArrayList<>()).add(entry);
-        var headers = new HashMap<>(Map.of("Host", Ledger.HOST, "Attempt-Id", entry.id, "Authorization", "Bearer " + tenantKey, "Time-Left-Ms", "1200"));
+        checker.entries.put(entry.id, entry);
+        checker.byKey.computeIfAbsent(orderKey, k -> new ArrayList<>()).add(entry);
+        var headers = new HashMap<>(Map.of("Host", HistoryChecker.HOST, "Attempt-Id", entry.id, "Authorization", "Bearer " + tenantKey, "Time-Left-Ms", "1200"));
         entry.tenant = tenant;
         if (delayMs > 0) {
             headers.put("Delay-Ms", Long.toString(delayMs));
@@ -102,9 +102,9 @@
         }
         if (!after.isEmpty()) {
             entry.after = after;
-            headers.put("Runs-After", String.join(", ", after.stream().map(each -> world.luck().nextBoolean() ? each.name : each.id).toList()));
+            headers.put("Runs-After", String.join(", ", after.stream().map(each -> world.random().nextBoolean() ? each.name : each.id).toList()));
         }
-        world.ask(gallery, "POST", "/" + service + "/x", headers, entry.body, answer -> {
+        world.ask(edge, "POST", "/" + service + "/x", headers, entry.body, answer -> {
             answered(entry, answer);
             if (entry.acceptedUs < Long.MAX_VALUE) {
                 kept.accept(entry);
@@ -113,7 +113,7 @@
         return entry;
     }
 
-    void answered(Ledger.Entry entry, Optional<Exchange.Answer> answer) {
+    void answered(HistoryChecker.Entry entry, Optional<Exchange.Answer> answer) {
         var status = answer.map(each -> each.code().status()).orElse(0);
         if (status == 202) {
             entry.acceptedUs = world.nowUs();
@@ -121,7 +121,7 @@
         } else if (status == 503 || status == 429) {
             entry.promisedNotToRun = true;
             if (entry.firstStartUs < Long.MAX_VALUE) {
-                ledger.faults.add("REFUSED after a run " + entry.id);
+                checker.faults.add("REFUSED after a run " + entry.id);
             }
         }
     }
@@ -143,8 +143,8 @@
             return;
         }
         var version = newWorkers && number % 4 == 0 ? "v2" : "v1";
-        world.ask(anyGallery(), "POST", "/pull/quote", Map.of("Host", "any", "Server-Id", name, "Server-Revision", version, "Wait-Ms", "1000"), new byte[0], answer -> {
-            if (answer.isPresent() && answer.get().code() == Codes.FINE) {
+        world.ask(anyEdge(), "POST", "/pull/quote", Map.of("Host", "any", "Server-Id", name, "Server-Revision", version, "Wait-Ms", "1000"), new byte[0], answer -> {
+            if (answer.isPresent() && answer.get().code() == ResultCode.FINE) {
                 work(answer.get(), name, version);
             } else {
                 world.after(answer.isPresent() ? 1_000 : 200_000, this::worker);
@@ -157,17 +157,17 @@
         for (var i = 0; i < job.headers().size(); i += 2) {
             headers.put(job.headers().get(i), job.headers().get(i + 1));
         }
-        var entry = ledger.entries.get(headers.get("Attempt-Id"));
+        var entry = checker.entries.get(headers.get("Attempt-Id"));
         assertThat(new String(job.body(), StandardCharsets.UTF_8)).isEqualTo("body of " + entry.id);
         assertThat(headers.get("Customer")).isEqualTo(entry.tenant);
-        if (version.equals("v2") && ledger.onNew(entry) && !ledger.newHow.equals("fails")) {
+        if (version.equals("v2") && checker.onNew(entry) && !checker.newHow.equals("fails")) {
             world.after(400_000, this::worker);
             return;
         }
-        ledger.starts(entry, world.nowUs());
-        var fails = world.luck().nextInt(30) == 0 || version.equals("v2") && ledger.newHow.equals("fails");
+        checker.starts(entry, world.nowUs());
+        var fails = world.random().nextInt(30) == 0 || version.equals("v2") && checker.newHow.equals("fails");
         entry.endTried |= !fails;
-        world.after((50_000 + world.luck().nextInt(400_000)) * (name.equals("w5") ? slowWorkerTimes : allSlowTimes), () -> {
+        world.after((50_000 + world.random().nextInt(400_000)) * (name.equals("w5") ? slowWorkerTimes : allSlowTimes), () -> {
             if (name.equals(pulledOut)) {
                 worker();
             } else {
@@ -176,9 +176,9 @@
         });
     }
 
-    void end(Ledger.Entry entry, String lease, String result, String seal, int tries) {
+    void end(HistoryChecker.Entry entry, String lease, String result, String seal, int tries) {
         entry.doneUs = result.equals("200") ? Math.min(entry.doneUs, world.nowUs()) : entry.doneUs;
-        world.ask(anyGallery(), "POST", "/job-end/" + entry.id, Map.of("Host", "any", "Lease", lease, "Job-Result", result, "Server-Seal", seal), new byte[0], answer -> {
+        world.ask(anyEdge(), "POST", "/job-end/" + entry.id, Map.of("Host", "any", "Lease", lease, "Job-Result", result, "Server-Seal", seal), new byte[0], answer -> {
             var status = answer.map(each -> each.code().status()).orElse(0);
             if (status == 200) {
                 ended(entry, lease, result, seal);
@@ -190,44 +190,44 @@
         });
     }
 
-    void ended(Ledger.Entry entry, String lease, String result, String seal) {
+    void ended(HistoryChecker.Entry entry, String lease, String result, String seal) {
         entry.endedLeases.add(lease + " " + result);
         if (result.equals("200")) {
             if (entry.successes > 0) {
-                ledger.faults.add("TWICE " + entry.id + " " + entry.endedLeases);
+                checker.faults.add("TWICE " + entry.id + " " + entry.endedLeases);
             }
-            ledger.succeeds(entry, seal, world.nowUs());
+            checker.succeeds(entry, seal, world.nowUs());
         } else {
             entry.fails++;
         }
     }
 
-    void retire(String node, List<Codes> codes) {
-        world.leader().orElseThrow().pilot().retire(node, reply -> codes.add(reply.code()));
+    void retire(String node, List<ResultCode> codes) {
+        world.leader().orElseThrow().control().retire(node, reply -> codes.add(reply.code()));
         run(SECOND / 2);
     }
 
     String readBack() {
-        return asked(PilotNode::read);
+        return asked(ControlNode::read);
     }
 
-    private String asked(BiConsumer<PilotNode, Consumer<PilotNode.Reply>> call) {
+    private String asked(BiConsumer<ControlNode, Consumer<ControlNode.Reply>> call) {
         var found = new ArrayList<String>();
-        call.accept(world.leader().orElseThrow().pilot(), reply -> found.add(new String(reply.body(), StandardCharsets.UTF_8)));
+        call.accept(world.leader().orElseThrow().control(), reply -> found.add(new String(reply.body(), StandardCharsets.UTF_8)));
         run(SECOND / 5);
         assertThat(found).hasSize(1);
         return found.get(0);
     }
 
     String retireState(String node) {
-        return asked((pilot, answer) -> pilot.retireState(node, answer));
+        return asked((control, answer) -> control.retireState(node, answer));
     }
 
     void oneActs() {
         var seen = new HashMap<String, String>();
-        world.upHosts("keeper").forEach(host -> host.keeper().openEpochs().forEach((line, epoch) -> {
+        world.upHosts("storage").forEach(host -> host.storage().openEpochs().forEach((line, epoch) -> {
             var other = seen.put(line + "@" + epoch, host.name);
-            assertWithMessage("two primaries of line " + line + " in epoch " + epoch).that(other).isNull();
+            assertWithMessage("two primaries of partition " + line + " in epoch " + epoch).that(other).isNull();
         }));
     }
 
@@ -237,15 +237,15 @@
 
     Map<String, String> states() {
         var found = new HashMap<String, String>();
-        ledger.entries.values().stream().filter(entry -> entry.acceptedUs < Long.MAX_VALUE).forEach(entry -> look(entry, found, 5));
+        checker.entries.values().stream().filter(entry -> entry.acceptedUs < Long.MAX_VALUE).forEach(entry -> look(entry, found, 5));
         run(15 * SECOND);
         return found;
     }
 
-    void look(Ledger.Entry entry, Map<String, String> found, int tries) {
-        var headers = Map.of("Host", Ledger.HOST, "Authorization", "Bearer " + key);
-        world.ask(anyGallery(), "GET", "/message/" + (world.luck().nextBoolean() ? entry.name : entry.id), headers, new byte[0], answer -> {
-            if (answer.isPresent() && answer.get().code() == Codes.FINE) {
+    void look(HistoryChecker.Entry entry, Map<String, String> found, int tries) {
+        var headers = Map.of("Host", HistoryChecker.HOST, "Authorization", "Bearer " + key);
+        world.ask(anyEdge(), "GET", "/message/" + (world.random().nextBoolean() ? entry.name : entry.id), headers, new byte[0], answer -> {
+            if (answer.isPresent() && answer.get().code() == ResultCode.FINE) {
                 found.put(entry.id, new String(answer.get().body(), StandardCharsets.UTF_8));
             } else if (tries > 0) {
                 world.after(500_000, () -> look(entry, found, tries - 1));
@@ -255,9 +255,9 @@
 
     void settle() {
         run(25 * SECOND);
-        ledger.clean();
+        checker.clean();
         var states = states();
-        for (var entry : ledger.entries.values()) {
+        for (var entry : checker.entries.values()) {
             if (entry.acceptedUs == Long.MAX_VALUE) {
                 continue;
             }
@@ -272,28 +272,28 @@
                 assertWithMessage(entry.id + " said to be failed").that(entry.fails).isAtLeast(4);
             }
         }
-        ledger.clean();
+        checker.clean();
         assertThat(unconfirmed).isAtMost(12);
-        assertThat(ledger.most(5 * SECOND)).isAtMost((long) (25 * 5 * 1.1 + 5));
+        assertThat(checker.most(5 * SECOND)).isAtMost((long) (25 * 5 * 1.1 + 5));
     }
 
-    private boolean mayBeUntold(Ledger.Entry entry) {
-        return entry.successes == 0 ? powerLost && entry.endTried : entry.endTried && world.keeperEndedWithin(entry.endedUs, UNTOLD_US);
+    private boolean mayBeUntold(HistoryChecker.Entry entry) {
+        return entry.successes == 0 ? powerLost && entry.endTried : entry.endTried && world.storageEndedWithin(entry.endedUs, UNTOLD_US);
     }
 
     long accepted() {
-        return ledger.entries.values().stream().filter(entry -> entry.acceptedUs < Long.MAX_VALUE).count();
+        return checker.entries.values().stream().filter(entry -> entry.acceptedUs < Long.MAX_VALUE).count();
     }
 
-    static Play trouble(long seed, long loadUs, Consumer<Play> mischief) {
-        return new Play(seed).trouble(loadUs, mischief);
+    static Scenario trouble(long seed, long loadUs, Consumer<Scenario> faults) {
+        return new Scenario(seed).trouble(loadUs, faults);
     }
 
-    Play trouble(long loadUs, Consumer<Play> mischief) {
+    Scenario trouble(long loadUs, Consumer<Scenario> faults) {
         var play = up();
         play.load(loadUs);
         play.run(2 * SECOND);
-        mischief.accept(play);
+        faults.accept(play);
         play.run(loadUs);
         play.settle();
         assertThat(play.accepted()).isGreaterThan(play.sent / 3);
--- a/src/test/java/wellwheel/tide/WatchTest.java
+++ b/src/test/java/wellwheel/simulation/WatchTest.java
@@ -1,4 +1,4 @@
-package wellwheel.tide;
+package wellwheel.simulation;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -16,21 +16,21 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class WatchTest {
-    private static final long SECOND = Play.SECOND;
+    private static final long SECOND = Scenario.SECOND;
 
     private static final class Bell {
-        final Play play;
+        final Scenario play;
         final Map<String, JsonObject> heard = new LinkedHashMap<>();
         final Map<String, Long> heardUs = new LinkedHashMap<>();
 
-        Bell(Play play) {
+        Bell(Scenario play) {
             this.play = play;
             listen();
         }
 
         void listen() {
             play.world.leader().ifPresent(host -> {
-                var text = new String(host.pilot().warningsNow().body(), StandardCharsets.UTF_8);
+                var text = new String(host.control().warningsNow().body(), StandardCharsets.UTF_8);
                 JsonParser.parseString(text).getAsJsonObject().getAsJsonArray("Warnings").forEach(item -> {
                     var warning = item.getAsJsonObject();
                     var name = warning.has("Tenant") ? "tenant " + warning.get("Tenant").getAsString() : "worker " + warning.get("Worker").getAsString();
@@ -46,11 +46,11 @@
         }
     }
 
-    private static void tenants(Play play, long untilUs, int gapUs) {
+    private static void tenants(Scenario play, long untilUs, int gapUs) {
         if (play.world.nowUs() < untilUs) {
             var all = List.of("acme", "beta", "gamma");
-            var tenant = all.get(play.world.luck().nextInt(3));
-            play.handIn(play.anyGallery(), "quote", "", tenant, tenant.equals("acme") ? play.key : tenant + "-key", 0);
+            var tenant = all.get(play.world.random().nextInt(3));
+            play.handIn(play.anyEdge(), "quote", "", tenant, tenant.equals("acme") ? play.key : tenant + "-key", 0);
             play.world.after(gapUs, () -> tenants(play, untilUs, gapUs));
         }
     }
@@ -58,28 +58,28 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void delayedRequestsHeldBackAreNamedBeforeTheirAim(long seed) {
-        var play = new Play(seed).up();
+        var play = new Scenario(seed).up();
         var bell = new Bell(play);
         tenants(play, play.world.nowUs() + 6 * SECOND, 20_000);
         play.run(2 * SECOND);
-        var gallery = play.world.hosts("gallery").get(0);
-        var keeper = play.world.hosts("keeper").stream().filter(host -> host.zone.equals(gallery.zone)).findFirst().orElseThrow();
+        var edge = play.world.hosts("edge").get(0);
+        var storage = play.world.hosts("storage").stream().filter(host -> host.zone.equals(edge.zone)).findFirst().orElseThrow();
         for (var i = 0; i < 3; i++) {
-            play.handIn(gallery, "quote", "", "hot", "hot-key", 3_000);
+            play.handIn(edge, "quote", "", "hot", "hot-key", 3_000);
         }
         play.run(SECOND);
         var dueUs = play.world.nowUs() + 2 * SECOND;
-        play.world.hosts("gallery").forEach(each -> play.world.cutPair(keeper, each, 4 * SECOND));
+        play.world.hosts("edge").forEach(each -> play.world.cutPair(storage, each, 4 * SECOND));
         play.run(3 * SECOND);
         assertThat(bell.of("tenant")).contains("tenant hot");
         assertThat(bell.heardUs.get("tenant hot")).isLessThan(dueUs + 500_000);
-        assertThat(bell.heard.get("tenant hot").get("Nodes").toString()).contains(keeper.name);
+        assertThat(bell.heard.get("tenant hot").get("Nodes").toString()).contains(storage.name);
     }
 
     @ParameterizedTest
     @ValueSource(longs = {11, 12, 13, 14})
     void allBusyTogetherAndTheTimeAfterAnOutageNameNobody(long seed) {
-        var play = new Play(seed).up();
+        var play = new Scenario(seed).up();
         var bell = new Bell(play);
         play.allSlowTimes = seed % 2 == 0 ? 3 : 1;
         tenants(play, play.world.nowUs() + 8 * SECOND, 8_000);
@@ -103,12 +103,12 @@
     @ParameterizedTest
     @MethodSource("floods")
     void floodIsNamedAsItsOwnBacklog(long seed) {
-        var play = new Play(seed).up();
+        var play = new Scenario(seed).up();
         var bell = new Bell(play);
         tenants(play, play.world.nowUs() + 6 * SECOND, 50_000);
         play.run(2 * SECOND);
         for (var i = 0; i < 400; i++) {
-            play.handIn(play.anyGallery(), "quote", "", "beta", "beta-key", 0);
+            play.handIn(play.anyEdge(), "quote", "", "beta", "beta-key", 0);
         }
         play.run(3 * SECOND);
         assertThat(bell.of("tenant")).containsExactly("tenant beta");
@@ -118,7 +118,7 @@
     @ParameterizedTest
     @ValueSource(longs = {31, 32, 33, 34})
     void onlyTheSlowWorkerIsNamed(long seed) {
-        var play = new Play(seed).up();
+        var play = new Scenario(seed).up();
         var bell = new Bell(play);
         tenants(play, play.world.nowUs() + 30 * SECOND, 25_000);
         play.run(8 * SECOND);
--- a/src/test/java/wellwheel/lantern/FileDiskTest.java
+++ b/src/test/java/wellwheel/storage/FileDiskTest.java
@@ -1,4 +1,4 @@
-package wellwheel.lantern;
+package wellwheel.storage;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -52,11 +52,11 @@
             return out;
         }
 
-        void losePower(Random luck, boolean allGone) {
+        void losePower(Random random, boolean allGone) {
             for (var piece : unsynced) {
-                switch (allGone ? 2 : luck.nextInt(3)) {
+                switch (allGone ? 2 : random.nextInt(3)) {
                     case 0 -> synced = applied(synced, piece);
-                    case 1 -> synced = applied(synced, new Piece(piece.at(), Arrays.copyOf(piece.bytes(), luck.nextInt(piece.bytes().length + 1))));
+                    case 1 -> synced = applied(synced, new Piece(piece.at(), Arrays.copyOf(piece.bytes(), random.nextInt(piece.bytes().length + 1))));
                     default -> { }
                 }
             }
@@ -68,14 +68,14 @@
     private record Change(String name, Inode inode, Optional<String> gone) { }
 
     private static final class Model implements Volume {
-        private final Random luck;
+        private final Random random;
         private Map<String, Inode> names = new HashMap<>();
         private final Map<String, Inode> lasting = new HashMap<>();
         private final List<Change> changes = new ArrayList<>();
         private int stepsLeft = Integer.MAX_VALUE;
 
-        Model(Random luck) {
-            this.luck = luck;
+        Model(Random random) {
+            this.random = random;
         }
 
         private void step() throws Stopped {
@@ -142,10 +142,10 @@
         }
 
         void losePower() {
-            var allGone = luck.nextInt(4) == 0;
-            changes.stream().filter(change -> luck.nextBoolean()).forEach(change -> keep(change, luck.nextBoolean()));
+            var allGone = random.nextInt(4) == 0;
+            changes.stream().filter(change -> random.nextBoolean()).forEach(change -> keep(change, random.nextBoolean()));
             changes.clear();
-            lasting.values().forEach(inode -> inode.losePower(luck, allGone));
+            lasting.values().forEach(inode -> inode.losePower(random, allGone));
             names = new HashMap<>(lasting);
         }
 
@@ -161,7 +161,7 @@
                 var all = new byte[bytes.remaining()];
                 bytes.get(all);
                 if (stepsLeft == 0) {
-                    inode.change(new Piece(inode.now.length, Arrays.copyOf(all, luck.nextInt(all.length + 1))));
+                    inode.change(new Piece(inode.now.length, Arrays.copyOf(all, random.nextInt(all.length + 1))));
                 }
                 step();
                 inode.change(new Piece(inode.now.length, all));
@@ -221,16 +221,16 @@
         }
     }
 
-    private static byte[] random(Random luck) {
-        var bytes = new byte[1 + luck.nextInt(40)];
-        luck.nextBytes(bytes);
+    private static byte[] random(Random random) {
+        var bytes = new byte[1 + random.nextInt(40)];
+        random.nextBytes(bytes);
         return bytes;
     }
 
-    private static void work(FileDisk disk, Expected expected, Random luck) throws IOException {
+    private static void work(FileDisk disk, Expected expected, Random random) throws IOException {
         for (var round = 0; round < 12; round++) {
-            var bytes = random(luck);
-            if (luck.nextInt(5) == 0) {
+            var bytes = random(random);
+            if (random.nextInt(5) == 0) {
                 var version = new Version(bytes);
                 expected.versions.add(version);
                 disk.rewrite("a", bytes, () -> expected.rewritten(version));
@@ -239,7 +239,7 @@
                 version.appended.add(bytes);
                 disk.append("a", bytes, () -> version.sure++);
             }
-            if (luck.nextInt(3) > 0) {
+            if (random.nextInt(3) > 0) {
                 disk.writeQueued();
             }
         }
@@ -249,12 +249,12 @@
     @Test
     void whatWasAcknowledgedIsThereWhereverPowerGoesOrTheProcessDies() {
         for (var seed = 0; seed < SEEDS; seed++) {
-            var luck = new Random(seed);
-            var volume = new Model(luck);
+            var random = new Random(seed);
+            var volume = new Model(random);
             var expected = new Expected();
             var powerLost = false;
             for (var life = 0; life < 6; life++) {
-                volume.stepsLeft = luck.nextInt(45);
+                volume.stepsLeft = random.nextInt(45);
                 var disk = new FileDisk(volume, Runnable::run);
                 try {
                     var found = disk.load("a");
@@ -262,11 +262,11 @@
                     assertWithMessage("seed %s life %s", seed, life).that(expected.versions.stream().anyMatch(version -> version.fits(found, lost))).isTrue();
                     expected.restart(found);
                     powerLost = false;
-                    work(disk, expected, luck);
+                    work(disk, expected, random);
                 } catch (IOException | UncheckedIOException stopped) {
                     assertThat(volume.stepsLeft).isLessThan(0);
                 }
-                if (luck.nextInt(3) > 0) {
+                if (random.nextInt(3) > 0) {
                     volume.losePower();
                     powerLost = true;
                 }
@@ -274,7 +274,7 @@
         }
     }
 
-    private static int life(Model volume, Random luck, List<Integer> all, int sure, String seed) throws IOException {
+    private static int life(Model volume, Random random, List<Integer> all, int sure, String seed) throws IOException {
         var disk = new FileDisk(volume, Runnable::run);
         var journal = new Journal(disk, "a", "me");
         var found = new ArrayList<Integer>();
@@ -286,13 +286,13 @@
         var surely = new int[] {found.size()};
         try {
             for (var round = 0; round < 14; round++) {
-                all.add(luck.nextInt());
+                all.add(random.nextInt());
                 var count = all.size();
-                journal.append(packed(all.get(count - 1), luck), () -> surely[0] = Math.max(surely[0], count));
-                if (luck.nextInt(6) == 0) {
-                    journal.rewrite(all.stream().map(each -> packed(each, luck)).toList(), () -> surely[0] = Math.max(surely[0], count));
+                journal.append(packed(all.get(count - 1), random), () -> surely[0] = Math.max(surely[0], count));
+                if (random.nextInt(6) == 0) {
+                    journal.rewrite(all.stream().map(each -> packed(each, random)).toList(), () -> surely[0] = Math.max(surely[0], count));
                 }
-                if (luck.nextInt(3) > 0) {
+                if (random.nextInt(3) > 0) {
                     disk.writeQueued();
                 }
             }
@@ -303,25 +303,25 @@
         return surely[0];
     }
 
-    private static byte[] packed(int number, Random luck) {
-        return ByteBuffer.allocate(4 + luck.nextInt(30)).putInt(number).array();
+    private static byte[] packed(int number, Random random) {
+        return ByteBuffer.allocate(4 + random.nextInt(30)).putInt(number).array();
     }
 
     @Test
     void aJournalHoldsItsAcknowledgedRecordsAndNeverCallsALossOfPowerDamage() throws IOException {
         for (var seed = 0; seed < SEEDS; seed++) {
-            var luck = new Random(seed);
-            var volume = new Model(luck);
+            var random = new Random(seed);
+            var volume = new Model(random);
             var all = new ArrayList<Integer>();
             var sure = 0;
             for (var life = 0; life < 6; life++) {
-                volume.stepsLeft = luck.nextInt(60);
+                volume.stepsLeft = random.nextInt(60);
                 try {
-                    sure = life(volume, luck, all, sure, "seed " + seed + " life " + life);
+                    sure = life(volume, random, all, sure, "seed " + seed + " life " + life);
                 } catch (UncheckedIOException stopped) {
                     assertThat(volume.stepsLeft).isLessThan(0);
                 }
-                if (luck.nextInt(3) > 0) {
+                if (random.nextInt(3) > 0) {
                     volume.losePower();
                 }
             }
@@ -332,7 +332,7 @@
     void callbacksComeInOrderFromRealFilesWhileBothThreadsWork(@TempDir Path folder) throws Exception {
         var loop = new DefaultEventLoop();
         var disk = new FileDisk(folder, loop);
-        var luck = new Random(9);
+        var random = new Random(9);
         var rounds = 3_000;
         var done = new ArrayList<Integer>();
         var torn = new ArrayList<Integer>();
@@ -343,9 +343,9 @@
                 done.add(number);
                 all.countDown();
             };
-            var bytes = new byte[64 * (1 + luck.nextInt(40))];
+            var bytes = new byte[64 * (1 + random.nextInt(40))];
             Arrays.fill(bytes, (byte) (round % 100));
-            if (luck.nextInt(200) == 0) {
+            if (random.nextInt(200) == 0) {
                 disk.rewrite("a", bytes, synced);
             } else {
                 disk.append("a", bytes, synced);
@@ -367,15 +367,15 @@
     void aJournalWrittenOnOneThreadAndSyncedOnAnotherIsReadBackWhole(@TempDir Path folder) throws Exception {
         var loop = new DefaultEventLoop();
         var journal = new Journal(new FileDisk(folder, loop), "a", "me");
-        var luck = new Random(4);
+        var random = new Random(4);
         var all = new ArrayList<Integer>();
         var done = new CountDownLatch(2_000);
         for (var round = 0; round < 2_000; round++) {
-            all.add(luck.nextInt());
-            if (luck.nextInt(150) == 0) {
-                journal.rewrite(all.stream().map(each -> packed(each, luck)).toList(), done::countDown);
+            all.add(random.nextInt());
+            if (random.nextInt(150) == 0) {
+                journal.rewrite(all.stream().map(each -> packed(each, random)).toList(), done::countDown);
             } else {
-                journal.append(packed(all.get(round), luck), done::countDown);
+                journal.append(packed(all.get(round), random), done::countDown);
             }
         }
         assertThat(done.await(20, TimeUnit.SECONDS)).isTrue();
--- a/src/test/java/wellwheel/lantern/JournalTest.java
+++ b/src/test/java/wellwheel/storage/JournalTest.java
@@ -1,5 +1,6 @@
-package wellwheel.lantern;
+package wellwheel.storage;
 
+import wellwheel.runtime.ResultCode;
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
@@ -39,7 +40,7 @@
 
     @Test
     void noFlippedBitIsReadAsARecord() {
-        var luck = new Random(7);
+        var random = new Random(7);
         var disk = new MemoryDisk();
         var journal = new Journal(disk, "j");
         for (var number = 0; number < 20; number++) {
@@ -48,7 +49,7 @@
         var whole = disk.bytes;
         for (var round = 0; round < 500; round++) {
             disk.bytes = whole.clone();
-            disk.bytes[luck.nextInt(whole.length)] ^= (byte) (1 << luck.nextInt(8));
+            disk.bytes[random.nextInt(whole.length)] ^= (byte) (1 << random.nextInt(8));
             var found = replayed(disk);
             for (var number = 0; number < found.size(); number++) {
                 assertThat(found.get(number)).isEqualTo("record " + number);
@@ -111,20 +112,20 @@
         return new Journal(holding(bytes), "j", "me").replay(record -> found.add(new String(record)));
     }
 
-    private static byte[] record(int number, Random luck) {
-        return Arrays.copyOf(("record " + number).getBytes(), 10 + luck.nextInt(luck.nextInt(20) == 0 ? 5_000 : 90));
+    private static byte[] record(int number, Random random) {
+        return Arrays.copyOf(("record " + number).getBytes(), 10 + random.nextInt(random.nextInt(20) == 0 ? 5_000 : 90));
     }
 
-    private static Late grown(Random luck, int rewriteAt) {
+    private static Late grown(Random random, int rewriteAt) {
         var disk = new Late();
         var journal = new Journal(disk, "j", "me");
         for (var number = 0; number < 40; number++) {
-            journal.append(record(number, luck), () -> { });
-            if (luck.nextInt(4) == 0) {
+            journal.append(record(number, random), () -> { });
+            if (random.nextInt(4) == 0) {
                 disk.sync();
             }
             if (number == rewriteAt) {
-                journal.rewrite(List.of(record(100, luck), record(101, luck), record(102, luck)), () -> { });
+                journal.rewrite(List.of(record(100, random), record(101, random), record(102, random)), () -> { });
             }
         }
         return disk;
@@ -133,19 +134,19 @@
     @Test
     void whateverUnsyncedWritesArePresentMissingOrTornNothingSyncedIsCalledDamaged() {
         for (var seed = 0; seed < 400; seed++) {
-            var luck = new Random(seed);
-            var disk = grown(luck, luck.nextInt(80));
+            var random = new Random(seed);
+            var disk = grown(random, random.nextInt(80));
             var bytes = disk.file.toByteArray();
             var from = disk.syncedBytes;
             for (var end : disk.ends) {
                 if (end > from) {
-                    var kept = from + List.of(0, luck.nextInt(end - from + 1), end - from).get(luck.nextInt(3));
+                    var kept = from + List.of(0, random.nextInt(end - from + 1), end - from).get(random.nextInt(3));
                     Arrays.fill(bytes, kept, end, (byte) 0);
                     from = end;
                 }
             }
             var found = new ArrayList<String>();
-            var result = replay(luck.nextBoolean() ? bytes : Arrays.copyOf(bytes, disk.syncedBytes + luck.nextInt(bytes.length - disk.syncedBytes + 1)), found);
+            var result = replay(random.nextBoolean() ? bytes : Arrays.copyOf(bytes, disk.syncedBytes + random.nextInt(bytes.length - disk.syncedBytes + 1)), found);
             assertThat(result.syncedDamaged()).isFalse();
             assertThat(result.records()).isEqualTo(found.size());
             assertThat(found.size()).isAtLeast((int) disk.ends.stream().filter(end -> end <= disk.syncedBytes).count());
@@ -155,8 +156,8 @@
     @Test
     void damageBeforeASoundRecordThatKnewOfTheSyncIsALostDisk() {
         for (var seed = 0; seed < 400; seed++) {
-            var luck = new Random(seed);
-            var disk = grown(luck, luck.nextInt(80));
+            var random = new Random(seed);
+            var disk = grown(random, random.nextInt(80));
             disk.sync();
             var journal = new Journal(disk, "j", "me");
             journal.replay(record -> { });
@@ -164,10 +165,10 @@
             disk.sync();
             journal.append("another".getBytes(), () -> { });
             var bytes = disk.file.toByteArray();
-            var at = luck.nextInt(disk.ends.get(disk.ends.size() - 2));
-            var count = 1 + luck.nextInt(Math.min(600, disk.ends.get(disk.ends.size() - 2) - at));
+            var at = random.nextInt(disk.ends.get(disk.ends.size() - 2));
+            var count = 1 + random.nextInt(Math.min(600, disk.ends.get(disk.ends.size() - 2) - at));
             for (var each = at; each < at + count; each++) {
-                bytes[each] = (byte) (luck.nextInt(3) == 0 ? 0 : bytes[each] ^ (1 + luck.nextInt(255)));
+                bytes[each] = (byte) (random.nextInt(3) == 0 ? 0 : bytes[each] ^ (1 + random.nextInt(255)));
             }
             if (Arrays.equals(bytes, disk.file.toByteArray())) {
                 continue;
@@ -218,12 +219,12 @@
     @Test
     void aNewerFormatOrAnotherNodesJournalIsRefused() {
         var newer = JournalReader.plain(new byte[] {(byte) 0xC1, 3, 'm', 'e'});
-        assertThat(assertThrows(Journal.Unreadable.class, () -> replay(newer, new ArrayList<>())).code()).isEqualTo(Codes.BAD_STATE);
+        assertThat(assertThrows(Journal.Unreadable.class, () -> replay(newer, new ArrayList<>())).code()).isEqualTo(ResultCode.BAD_STATE);
         var disk = new MemoryDisk();
         new Journal(disk, "j", "other").append("a vote".getBytes(), () -> { });
         var before = disk.bytes.clone();
         var refusal = assertThrows(Journal.Unreadable.class, () -> replay(disk.bytes, new ArrayList<>()));
-        assertThat(refusal.code()).isEqualTo(Codes.JOURNAL_FOREIGN);
+        assertThat(refusal.code()).isEqualTo(ResultCode.JOURNAL_FOREIGN);
         assertThat(refusal.getMessage()).isEqualTo("j was written by other, this is me; move it away");
         assertThat(disk.bytes).isEqualTo(before);
     }
@@ -234,10 +235,10 @@
         for (var length : lengths) {
             assertThat(replay(ByteBuffer.allocate(40).putInt(length).array(), new ArrayList<>())).isEqualTo(new Journal.Replay(0, true, false));
         }
-        var luck = new Random(5);
+        var random = new Random(5);
         for (var size : List.of(1, 7, 8, 9, 300, 1 << 21)) {
             var bytes = new byte[size];
-            luck.nextBytes(bytes);
+            random.nextBytes(bytes);
             bytes[0] = (byte) 0xC1;
             assertThat(replay(bytes, new ArrayList<>()).records()).isEqualTo(0);
         }
--- a/src/test/java/wellwheel/lantern/MemoryDisk.java
+++ b/src/test/java/wellwheel/storage/MemoryDisk.java
@@ -1,4 +1,4 @@
-package wellwheel.lantern;
+package wellwheel.storage;
 
 import java.io.ByteArrayOutputStream;
 
--- a/src/test/java/wellwheel/lantern/DoorTest.java
+++ b/src/test/java/wellwheel/transport/HttpServerTest.java
@@ -1,5 +1,8 @@
-package wellwheel.lantern;
+package wellwheel.transport;
 
+import wellwheel.config.Configuration;
+import wellwheel.runtime.LoopClock;
+import wellwheel.runtime.ResultCode;
 import static com.google.common.truth.Truth.assertThat;
 
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -17,7 +20,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-class DoorTest {
+class HttpServerTest {
     private static final NioEventLoopGroup GROUP = new NioEventLoopGroup(1);
     private static final CopyOnWriteArrayList<String> SEEN = new CopyOnWriteArrayList<>();
     private static final LinkedBlockingQueue<Exchange> HELD = new LinkedBlockingQueue<>();
@@ -29,14 +32,14 @@
             port = socket.getLocalPort();
         }
         var loop = GROUP.next();
-        var caps = new Charter.Caps(512, 64, 300_000, 400_000);
-        var door = new Door(loop, new LoopClock(loop), () -> caps, 100, exchange -> {
+        var caps = new Configuration.Caps(512, 64, 300_000, 400_000);
+        var door = new HttpServer(loop, new LoopClock(loop), () -> caps, 100, exchange -> {
             SEEN.add(exchange.method() + " " + exchange.target() + " " + new String(exchange.body(), StandardCharsets.UTF_8));
             if (exchange.target().startsWith("/held")) {
                 HELD.add(exchange);
                 return;
             }
-            exchange.answer(Exchange.Answer.of(Codes.FINE).with("text/plain", "yes".getBytes(StandardCharsets.UTF_8)));
+            exchange.answer(Exchange.Answer.of(ResultCode.FINE).with("text/plain", "yes".getBytes(StandardCharsets.UTF_8)));
         });
         door.open("127.0.0.1:" + port);
         door.watch();
@@ -102,7 +105,7 @@
     }
 
     private static void answer(Exchange exchange, String text) {
-        GROUP.next().execute(() -> exchange.answer(Exchange.Answer.of(Codes.FINE).with("text/plain", text.getBytes(StandardCharsets.UTF_8))));
+        GROUP.next().execute(() -> exchange.answer(Exchange.Answer.of(ResultCode.FINE).with("text/plain", text.getBytes(StandardCharsets.UTF_8))));
     }
 
     private static String readUntil(Socket socket, String end) throws IOException {
--- a/src/test/java/wellwheel/lantern/LinksTest.java
+++ b/src/test/java/wellwheel/transport/LinksTest.java
@@ -1,5 +1,6 @@
-package wellwheel.lantern;
+package wellwheel.transport;
 
+import wellwheel.runtime.LoopClock;
 import static com.google.common.truth.Truth.assertThat;
 
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -83,7 +84,7 @@
             port = socket.getLocalPort();
         }
         links = new Links(HERE, port, GROUP.next(), new LoopClock(GROUP.next()));
-        links.open(new Wire.Ear() {
+        links.open(new Network.MessageHandler() {
             @Override
             public void onFrame(String peerIp, Frame frame) {
                 heard.add(peerIp + " " + frame.kind());
--- a/src/test/java/wellwheel/lantern/CallerTest.java
+++ b/src/test/java/wellwheel/transport/PooledHttpClientTest.java
@@ -1,5 +1,8 @@
-package wellwheel.lantern;
+package wellwheel.transport;
 
+import wellwheel.runtime.LoopClock;
+import wellwheel.transport.PooledHttpClient.Answer;
+import wellwheel.transport.PooledHttpClient.Fate;
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
@@ -35,10 +38,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import wellwheel.lantern.Caller.Answer;
-import wellwheel.lantern.Caller.Fate;
 
-class CallerTest {
+class PooledHttpClientTest {
     private static final NioEventLoopGroup CLIENTS = new NioEventLoopGroup(1);
     private static final NioEventLoopGroup SERVERS = new NioEventLoopGroup(2);
     private static final long LONG_US = 8_000_000;
@@ -103,7 +104,7 @@
     }
 
     private static final class Client {
-        final Caller caller = new Caller(CLIENTS.next(), new LoopClock(CLIENTS.next()));
+        final PooledHttpClient caller = new PooledHttpClient(CLIENTS.next(), new LoopClock(CLIENTS.next()));
         final String address;
         final int most;
 
@@ -118,7 +119,7 @@
             if (!id.isEmpty()) {
                 headers.addAll(List.of("Attempt-Id", id));
             }
-            CLIENTS.next().execute(() -> caller.call(new Caller.Call(address, method, "/x", headers, new byte[0], waitUs, most, id), told::complete));
+            CLIENTS.next().execute(() -> caller.call(new PooledHttpClient.Call(address, method, "/x", headers, new byte[0], waitUs, most, id), told::complete));
             return told;
         }
 
@@ -187,7 +188,7 @@
 
     private static final class Run {
         final Client client;
-        final Random luck;
+        final Random random;
         final Map<String, Fault> script;
         final List<CompletableFuture<Void>> ended = new ArrayList<>();
         final Map<String, Answer> answers;
@@ -197,8 +198,8 @@
 
         Run(int seed, String address, Map<String, Fault> script, Map<String, Answer> answers, Map<String, Boolean> named) {
             this.seed = seed;
-            this.luck = new Random(seed);
-            this.client = new Client(address, 1 + luck.nextInt(3));
+            this.random = new Random(seed);
+            this.client = new Client(address, 1 + random.nextInt(3));
             this.script = script;
             this.answers = answers;
             this.named = named;
@@ -213,14 +214,14 @@
                 return CompletableFuture.completedFuture(null);
             }
             var number = seed + "." + next++;
-            var id = luck.nextInt(4) == 0 ? "" : "id" + number;
-            return attempt(number, id, 1, 1 + luck.nextInt(2)).thenCompose(nothing -> go());
+            var id = random.nextInt(4) == 0 ? "" : "id" + number;
+            return attempt(number, id, 1, 1 + random.nextInt(2)).thenCompose(nothing -> go());
         }
 
         private synchronized CompletableFuture<Void> attempt(String number, String id, int attempt, int most) {
             var tag = number + "/" + attempt;
-            var drawn = luck.nextBoolean() ? Fault.NONE : Fault.values()[luck.nextInt(Fault.values().length)];
-            var fault = attempt > 1 && luck.nextBoolean() ? Fault.SLOW : drawn;
+            var drawn = random.nextBoolean() ? Fault.NONE : Fault.values()[random.nextInt(Fault.values().length)];
+            var fault = attempt > 1 && random.nextBoolean() ? Fault.SLOW : drawn;
             script.put(tag, fault);
             named.put(tag, !id.isEmpty());
             return client.call("POST", tag, id, fault == Fault.LATE ? SHORT_US : LONG_US).thenCompose(answer -> {
@@ -269,7 +270,7 @@
     }
 
     private static void inTurn(Client client, int number, int most, CompletableFuture<Integer> all) {
-        var call = new Caller.Call(client.address, "POST", "/x", List.of("Tag", "t" + number, "Attempt-Id", "id" + number), new byte[0], LONG_US, client.most, "id" + number);
+        var call = new PooledHttpClient.Call(client.address, "POST", "/x", List.of("Tag", "t" + number, "Attempt-Id", "id" + number), new byte[0], LONG_US, client.most, "id" + number);
         CLIENTS.next().execute(() -> client.caller.call(call, answer -> {
             if (number == most || !text(answer).equals("t" + number)) {
                 all.complete(number);
