--- a/src/main/java/wellwheel/Main.java
+++ b/src/main/java/wellwheel/Main.java
@@ -9,39 +9,39 @@
 import wellwheel.storage.Journal;
 
 public final class Main {
-    private static final System.Logger LOG = System.getLogger("main");
-    private static final int USAGE_STATUS = 64;
-    private static final int BAD_STATE_STATUS = 79;
+  private static final System.Logger LOG = System.getLogger("main");
+  private static final int USAGE_STATUS = 64;
+  private static final int BAD_STATE_STATUS = 79;
 
-    private Main() { }
+  private Main() {}
 
-    private static void storage() throws InterruptedException {
-        try {
-            new StorageDaemon(NodeRuntime.start());
-        } catch (Journal.Unreadable e) {
-            stop(e.code(), e.getMessage());
-        } catch (QueueHistory.Unreadable | IllegalArgumentException e) {
-            stop(ResultCode.BAD_STATE, e.getMessage());
-        }
+  private static void storage() throws InterruptedException {
+    try {
+      new StorageDaemon(NodeRuntime.start());
+    } catch (Journal.Unreadable e) {
+      stop(e.code(), e.getMessage());
+    } catch (QueueHistory.Unreadable | IllegalArgumentException e) {
+      stop(ResultCode.BAD_STATE, e.getMessage());
     }
+  }
 
-    private static void stop(ResultCode code, String why) {
-        LOG.log(System.Logger.Level.ERROR, "code=" + code.number() + " " + why);
-        System.out.flush();
-        Runtime.getRuntime().halt(BAD_STATE_STATUS);
-    }
+  private static void stop(ResultCode code, String why) {
+    LOG.log(System.Logger.Level.ERROR, "code=" + code.number() + " " + why);
+    System.out.flush();
+    Runtime.getRuntime().halt(BAD_STATE_STATUS);
+  }
 
-    public static void main(String[] arguments) throws Exception {
-        var role = arguments.length == 1 ? arguments[0] : "";
-        switch (role) {
-            case "edge" -> new EdgeDaemon(NodeRuntime.start());
-            case "storage" -> storage();
-            case "control" -> ControlDaemon.main(new String[0]);
-            case "warmup" -> Warmup.run();
-            default -> {
-                LOG.log(System.Logger.Level.ERROR, "usage: wellwheel.Main edge|storage|control");
-                System.exit(USAGE_STATUS);
-            }
-        }
+  public static void main(String[] arguments) throws Exception {
+    var role = arguments.length == 1 ? arguments[0] : "";
+    switch (role) {
+      case "edge" -> new EdgeDaemon(NodeRuntime.start());
+      case "storage" -> storage();
+      case "control" -> ControlDaemon.main(new String[0]);
+      case "warmup" -> Warmup.run();
+      default -> {
+        LOG.log(System.Logger.Level.ERROR, "usage: wellwheel.Main edge|storage|control");
+        System.exit(USAGE_STATUS);
+      }
     }
+  }
 }
--- a/src/main/java/wellwheel/config/Configuration.java
+++ b/src/main/java/wellwheel/config/Configuration.java
@@ -25,284 +25,341 @@
 import java.util.Set;
 
 public final class Configuration {
-    public static final Configuration NONE = new Configuration(0, List.of(), Map.of(), List.of(), new Caps(16384, 262144, 3_000_000, 15_000_000));
-
-    public record Path(String name, String host, String prefix, String service, int rank, long startAimUs, long aimUs, long giveUpUs, int tries, long keepUs, boolean inOrder, boolean open) { }
-
-    public record Service(String name, int maxConns, double perS, boolean dropsRepeats, boolean pull, String endpoint) {
-        public boolean paced() {
-            return perS > 0 || !endpoint.isEmpty();
-        }
+  public static final Configuration NONE =
+      new Configuration(
+          0, List.of(), Map.of(), List.of(), new Caps(16384, 262144, 3_000_000, 15_000_000));
+
+  public record Path(
+      String name,
+      String host,
+      String prefix,
+      String service,
+      int rank,
+      long startAimUs,
+      long aimUs,
+      long giveUpUs,
+      int tries,
+      long keepUs,
+      boolean inOrder,
+      boolean open) {}
+
+  public record Service(
+      String name, int maxConns, double perS, boolean dropsRepeats, boolean pull, String endpoint) {
+    public boolean paced() {
+      return perS > 0 || !endpoint.isEmpty();
     }
+  }
 
-    public record Tenant(String name, double perS, double burst) { }
+  public record Tenant(String name, double perS, double burst) {}
 
-    public record Caps(int headerBytes, int bodyBytes, long headerWaitUs, long idleUs) { }
+  public record Caps(int headerBytes, int bodyBytes, long headerWaitUs, long idleUs) {}
 
-    public static final class Invalid extends Exception {
-        public Invalid(String place, String why) {
-            super(place + ": " + why);
-        }
+  public static final class Invalid extends Exception {
+    public Invalid(String place, String why) {
+      super(place + ": " + why);
     }
-
-    private final long revision;
-    private final Map<String, List<Path>> pathsByHost = new HashMap<>();
-    private final Map<String, Service> services;
-    private final Map<String, Tenant> tenantsByKey = new HashMap<>();
-    private final Caps caps;
-
-    private Configuration(long revision, List<Path> paths, Map<String, Service> services, List<Map.Entry<String, Tenant>> keys, Caps caps) {
-        this.revision = revision;
-        this.services = services;
-        this.caps = caps;
-        paths.forEach(path -> pathsByHost.computeIfAbsent(path.host(), h -> new ArrayList<>()).add(path));
-        pathsByHost.values().forEach(list -> list.sort(Comparator.comparingInt((Path p) -> -p.prefix().length())));
-        keys.forEach(entry -> tenantsByKey.put(entry.getKey(), entry.getValue()));
+  }
+
+  private final long revision;
+  private final Map<String, List<Path>> pathsByHost = new HashMap<>();
+  private final Map<String, Service> services;
+  private final Map<String, Tenant> tenantsByKey = new HashMap<>();
+  private final Caps caps;
+
+  private Configuration(
+      long revision,
+      List<Path> paths,
+      Map<String, Service> services,
+      List<Map.Entry<String, Tenant>> keys,
+      Caps caps) {
+    this.revision = revision;
+    this.services = services;
+    this.caps = caps;
+    paths.forEach(
+        path -> pathsByHost.computeIfAbsent(path.host(), h -> new ArrayList<>()).add(path));
+    pathsByHost
+        .values()
+        .forEach(list -> list.sort(Comparator.comparingInt((Path p) -> -p.prefix().length())));
+    keys.forEach(entry -> tenantsByKey.put(entry.getKey(), entry.getValue()));
+  }
+
+  public long revision() {
+    return revision;
+  }
+
+  public Caps caps() {
+    return caps;
+  }
+
+  public Optional<Path> path(String host, String target) {
+    var query = target.indexOf('?');
+    var bare = query < 0 ? target : target.substring(0, query);
+    for (var path : pathsByHost.getOrDefault(plainHost(host), List.of())) {
+      if (bare.startsWith(path.prefix())) {
+        return Optional.of(path);
+      }
     }
-
-    public long revision() {
-        return revision;
+    return Optional.empty();
+  }
+
+  public Optional<Service> service(String name) {
+    return Optional.ofNullable(services.get(name));
+  }
+
+  public Iterable<Service> services() {
+    return services.values();
+  }
+
+  public Optional<Tenant> tenant(String key) {
+    return Optional.ofNullable(tenantsByKey.get(key));
+  }
+
+  public static String plainHost(String host) {
+    var lower = host.toLowerCase(Locale.ROOT);
+    var colon = lower.lastIndexOf(':');
+    return colon > 0 ? lower.substring(0, colon) : lower;
+  }
+
+  public static Configuration read(byte[] bytes) throws Invalid {
+    return new Builder(parse(bytes)).build();
+  }
+
+  public static List<String> faults(byte[] bytes) {
+    try {
+      var builder = new Builder(parse(bytes));
+      builder.gather();
+      return builder.faults.stream().map(Invalid::getMessage).toList();
+    } catch (Invalid e) {
+      return List.of(e.getMessage());
+    }
+  }
+
+  private interface Check {
+    void run() throws Invalid;
+  }
+
+  private static JsonObject parse(byte[] bytes) throws Invalid {
+    try {
+      var text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
+      var reader = new JsonReader(new StringReader(text));
+      reader.setStrictness(Strictness.STRICT);
+      var element = Streams.parse(reader);
+      if (reader.peek() != JsonToken.END_DOCUMENT || !element.isJsonObject()) {
+        throw new Invalid("/", "not one whole object");
+      }
+      return element.getAsJsonObject();
+    } catch (CharacterCodingException e) {
+      throw new Invalid("/", "not UTF-8");
+    } catch (IOException | JsonParseException | IllegalStateException | StackOverflowError e) {
+      throw new Invalid("/", "not whole JSON");
+    }
+  }
+
+  private static final class Builder {
+    private final JsonObject root;
+    private final List<Invalid> faults = new ArrayList<>();
+    private final Map<String, Service> services = new LinkedHashMap<>();
+    private final List<Path> paths = new ArrayList<>();
+    private final Set<String> places = new HashSet<>();
+    private final Map<String, Tenant> keys = new HashMap<>();
+    private final Set<String> tenants = new HashSet<>();
+    private long revision;
+    private Caps caps = NONE.caps;
+
+    Builder(JsonObject root) {
+      this.root = root;
     }
 
-    public Caps caps() {
-        return caps;
+    Configuration build() throws Invalid {
+      gather();
+      if (!faults.isEmpty()) {
+        throw faults.get(0);
+      }
+      return new Configuration(revision, paths, services, List.copyOf(keys.entrySet()), caps);
     }
 
-    public Optional<Path> path(String host, String target) {
-        var query = target.indexOf('?');
-        var bare = query < 0 ? target : target.substring(0, query);
-        for (var path : pathsByHost.getOrDefault(plainHost(host), List.of())) {
-            if (bare.startsWith(path.prefix())) {
-                return Optional.of(path);
+    private void gather() {
+      check(() -> revision = whole(root, "", "Revision", 1, Long.MAX_VALUE));
+      check(() -> each("Backends", this::service));
+      check(() -> each("Routing", this::path));
+      check(
+          () -> {
+            if (root.has("Customers")) {
+              each("Customers", this::tenant);
             }
-        }
-        return Optional.empty();
+          });
+      check(() -> caps = caps());
     }
 
-    public Optional<Service> service(String name) {
-        return Optional.ofNullable(services.get(name));
+    private void check(Check check) {
+      try {
+        check.run();
+      } catch (Invalid e) {
+        faults.add(e);
+      }
     }
 
-    public Iterable<Service> services() {
-        return services.values();
+    private interface Item {
+      void read(JsonObject each, String at) throws Invalid;
     }
 
-    public Optional<Tenant> tenant(String key) {
-        return Optional.ofNullable(tenantsByKey.get(key));
+    private void each(String field, Item reader) throws Invalid {
+      var place = 0;
+      for (var item : list(root, "", field)) {
+        var at = "/" + field + "/" + place++;
+        check(() -> reader.read(object(item, at), at));
+      }
     }
 
-    public static String plainHost(String host) {
-        var lower = host.toLowerCase(Locale.ROOT);
-        var colon = lower.lastIndexOf(':');
-        return colon > 0 ? lower.substring(0, colon) : lower;
+    private void service(JsonObject each, String at) throws Invalid {
+      var name = text(each, at, "Name");
+      var endpoint =
+          each.has("Endpoint") && !each.get("Endpoint").isJsonNull() ? address(each, at) : "";
+      var perS = fraction(each, at, "RatePerS", 0);
+      var service =
+          new Service(
+              name,
+              (int) whole(each, at, "MaxConns", 1, 1_000_000),
+              perS,
+              flag(each, at, "DropsRepeats"),
+              flag(each, at, "WorkerPull"),
+              endpoint);
+      if (services.put(name, service) != null) {
+        throw new Invalid(at, "two services are named " + name);
+      }
     }
 
-    public static Configuration read(byte[] bytes) throws Invalid {
-        return new Builder(parse(bytes)).build();
+    private String address(JsonObject each, String at) throws Invalid {
+      var address = text(each, at, "Endpoint");
+      if (!address.matches("[0-9A-Za-z.\\-]+:[0-9]{1,5}")
+          || Integer.parseInt(address.substring(address.indexOf(':') + 1)) > 65535) {
+        throw new Invalid(at + "/Endpoint", "not host:port");
+      }
+      return address;
     }
 
-    public static List<String> faults(byte[] bytes) {
-        try {
-            var builder = new Builder(parse(bytes));
-            builder.gather();
-            return builder.faults.stream().map(Invalid::getMessage).toList();
-        } catch (Invalid e) {
-            return List.of(e.getMessage());
-        }
+    private void path(JsonObject each, String at) throws Invalid {
+      var path = onePath(each, at);
+      if (!services.containsKey(path.service())) {
+        throw new Invalid(at + "/Backend", "unknown service " + path.service());
+      }
+      if (!places.add(path.host() + " " + path.prefix())) {
+        throw new Invalid(at, "host and prefix are taken by another path");
+      }
+      paths.add(path);
     }
 
-    private interface Check {
-        void run() throws Invalid;
+    private Path onePath(JsonObject each, String at) throws Invalid {
+      var host = plainHost(text(each, at, "Host"));
+      var prefix = text(each, at, "PathStart");
+      if (!prefix.startsWith("/")) {
+        throw new Invalid(at + "/PathStart", "does not start with /");
+      }
+      return new Path(
+          text(each, at, "Name"),
+          host,
+          prefix,
+          text(each, at, "Backend"),
+          (int) whole(each, at, "Rank", 0, 1000),
+          us(each, at, "StartTargetMs", 0),
+          us(each, at, "TargetMs", 0),
+          us(each, at, "GiveUpMs", 1),
+          (int) whole(each, at, "Tries", 1, 1000),
+          (long) (fraction(each, at, "KeepForS", 0) * 1e6),
+          flag(each, at, "InOrder"),
+          flag(each, at, "Public"));
     }
 
-    private static JsonObject parse(byte[] bytes) throws Invalid {
-        try {
-            var text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
-            var reader = new JsonReader(new StringReader(text));
-            reader.setStrictness(Strictness.STRICT);
-            var element = Streams.parse(reader);
-            if (reader.peek() != JsonToken.END_DOCUMENT || !element.isJsonObject()) {
-                throw new Invalid("/", "not one whole object");
-            }
-            return element.getAsJsonObject();
-        } catch (CharacterCodingException e) {
-            throw new Invalid("/", "not UTF-8");
-        } catch (IOException | JsonParseException | IllegalStateException | StackOverflowError e) {
-            throw new Invalid("/", "not whole JSON");
+    private void tenant(JsonObject each, String at) throws Invalid {
+      var tenant =
+          new Tenant(
+              text(each, at, "Name"),
+              fraction(each, at, "RatePerS", 0),
+              fraction(each, at, "Burst", 0));
+      if (!tenants.add(tenant.name())) {
+        throw new Invalid(at, "two tenants are named " + tenant.name());
+      }
+      for (var key : list(each, at, "ApiKeys")) {
+        if (!key.isJsonPrimitive()
+            || !key.getAsJsonPrimitive().isString()
+            || keys.put(key.getAsString(), tenant) != null) {
+          throw new Invalid(at + "/ApiKeys", "a key is not text or is held twice");
         }
+      }
     }
 
-    private static final class Builder {
-        private final JsonObject root;
-        private final List<Invalid> faults = new ArrayList<>();
-        private final Map<String, Service> services = new LinkedHashMap<>();
-        private final List<Path> paths = new ArrayList<>();
-        private final Set<String> places = new HashSet<>();
-        private final Map<String, Tenant> keys = new HashMap<>();
-        private final Set<String> tenants = new HashSet<>();
-        private long revision;
-        private Caps caps = NONE.caps;
-
-        Builder(JsonObject root) {
-            this.root = root;
-        }
-
-        Configuration build() throws Invalid {
-            gather();
-            if (!faults.isEmpty()) {
-                throw faults.get(0);
-            }
-            return new Configuration(revision, paths, services, List.copyOf(keys.entrySet()), caps);
-        }
-
-        private void gather() {
-            check(() -> revision = whole(root, "", "Revision", 1, Long.MAX_VALUE));
-            check(() -> each("Backends", this::service));
-            check(() -> each("Routing", this::path));
-            check(() -> {
-                if (root.has("Customers")) {
-                    each("Customers", this::tenant);
-                }
-            });
-            check(() -> caps = caps());
-        }
-
-        private void check(Check check) {
-            try {
-                check.run();
-            } catch (Invalid e) {
-                faults.add(e);
-            }
-        }
-
-        private interface Item {
-            void read(JsonObject each, String at) throws Invalid;
-        }
-
-        private void each(String field, Item reader) throws Invalid {
-            var place = 0;
-            for (var item : list(root, "", field)) {
-                var at = "/" + field + "/" + place++;
-                check(() -> reader.read(object(item, at), at));
-            }
-        }
-
-        private void service(JsonObject each, String at) throws Invalid {
-            var name = text(each, at, "Name");
-            var endpoint = each.has("Endpoint") && !each.get("Endpoint").isJsonNull() ? address(each, at) : "";
-            var perS = fraction(each, at, "RatePerS", 0);
-            var service = new Service(name, (int) whole(each, at, "MaxConns", 1, 1_000_000), perS, flag(each, at, "DropsRepeats"), flag(each, at, "WorkerPull"), endpoint);
-            if (services.put(name, service) != null) {
-                throw new Invalid(at, "two services are named " + name);
-            }
-        }
-
-        private String address(JsonObject each, String at) throws Invalid {
-            var address = text(each, at, "Endpoint");
-            if (!address.matches("[0-9A-Za-z.\\-]+:[0-9]{1,5}") || Integer.parseInt(address.substring(address.indexOf(':') + 1)) > 65535) {
-                throw new Invalid(at + "/Endpoint", "not host:port");
-            }
-            return address;
-        }
-
-        private void path(JsonObject each, String at) throws Invalid {
-            var path = onePath(each, at);
-            if (!services.containsKey(path.service())) {
-                throw new Invalid(at + "/Backend", "unknown service " + path.service());
-            }
-            if (!places.add(path.host() + " " + path.prefix())) {
-                throw new Invalid(at, "host and prefix are taken by another path");
-            }
-            paths.add(path);
-        }
-
-        private Path onePath(JsonObject each, String at) throws Invalid {
-            var host = plainHost(text(each, at, "Host"));
-            var prefix = text(each, at, "PathStart");
-            if (!prefix.startsWith("/")) {
-                throw new Invalid(at + "/PathStart", "does not start with /");
-            }
-            return new Path(text(each, at, "Name"), host, prefix, text(each, at, "Backend"), (int) whole(each, at, "Rank", 0, 1000),
-                us(each, at, "StartTargetMs", 0), us(each, at, "TargetMs", 0), us(each, at, "GiveUpMs", 1), (int) whole(each, at, "Tries", 1, 1000),
-                (long) (fraction(each, at, "KeepForS", 0) * 1e6), flag(each, at, "InOrder"), flag(each, at, "Public"));
-        }
-
-        private void tenant(JsonObject each, String at) throws Invalid {
-            var tenant = new Tenant(text(each, at, "Name"), fraction(each, at, "RatePerS", 0), fraction(each, at, "Burst", 0));
-            if (!tenants.add(tenant.name())) {
-                throw new Invalid(at, "two tenants are named " + tenant.name());
-            }
-            for (var key : list(each, at, "ApiKeys")) {
-                if (!key.isJsonPrimitive() || !key.getAsJsonPrimitive().isString() || keys.put(key.getAsString(), tenant) != null) {
-                    throw new Invalid(at + "/ApiKeys", "a key is not text or is held twice");
-                }
-            }
-        }
-
-        private Caps caps() throws Invalid {
-            if (!root.has("Caps")) {
-                return NONE.caps;
-            }
-            var each = object(root.get("Caps"), "/Caps");
-            return new Caps((int) whole(each, "/Caps", "MaxHeaderBytes", 64, 1 << 20), (int) whole(each, "/Caps", "MaxBodyBytes", 0, 64 << 20),
-                us(each, "/Caps", "HeaderWaitMs", 1), us(each, "/Caps", "IdleMs", 1));
-        }
+    private Caps caps() throws Invalid {
+      if (!root.has("Caps")) {
+        return NONE.caps;
+      }
+      var each = object(root.get("Caps"), "/Caps");
+      return new Caps(
+          (int) whole(each, "/Caps", "MaxHeaderBytes", 64, 1 << 20),
+          (int) whole(each, "/Caps", "MaxBodyBytes", 0, 64 << 20),
+          us(each, "/Caps", "HeaderWaitMs", 1),
+          us(each, "/Caps", "IdleMs", 1));
+    }
 
-        private static JsonArray list(JsonObject from, String at, String field) throws Invalid {
-            if (!from.has(field) || !from.get(field).isJsonArray()) {
-                throw new Invalid(at + "/" + field, "a list is wanted");
-            }
-            return from.getAsJsonArray(field);
-        }
+    private static JsonArray list(JsonObject from, String at, String field) throws Invalid {
+      if (!from.has(field) || !from.get(field).isJsonArray()) {
+        throw new Invalid(at + "/" + field, "a list is wanted");
+      }
+      return from.getAsJsonArray(field);
+    }
 
-        private static JsonObject object(JsonElement item, String at) throws Invalid {
-            if (!item.isJsonObject()) {
-                throw new Invalid(at, "an object is wanted");
-            }
-            return item.getAsJsonObject();
-        }
+    private static JsonObject object(JsonElement item, String at) throws Invalid {
+      if (!item.isJsonObject()) {
+        throw new Invalid(at, "an object is wanted");
+      }
+      return item.getAsJsonObject();
+    }
 
-        private static String text(JsonObject from, String at, String field) throws Invalid {
-            var item = from.get(field);
-            if (item == null || !item.isJsonPrimitive() || !item.getAsJsonPrimitive().isString() || item.getAsString().isEmpty()) {
-                throw new Invalid(at + "/" + field, "text is wanted");
-            }
-            return item.getAsString();
-        }
+    private static String text(JsonObject from, String at, String field) throws Invalid {
+      var item = from.get(field);
+      if (item == null
+          || !item.isJsonPrimitive()
+          || !item.getAsJsonPrimitive().isString()
+          || item.getAsString().isEmpty()) {
+        throw new Invalid(at + "/" + field, "text is wanted");
+      }
+      return item.getAsString();
+    }
 
-        private static double fraction(JsonObject from, String at, String field, double least) throws Invalid {
-            var item = from.get(field);
-            if (item == null || !item.isJsonPrimitive() || !item.getAsJsonPrimitive().isNumber()) {
-                throw new Invalid(at + "/" + field, "a number is wanted");
-            }
-            var value = item.getAsDouble();
-            if (!(value >= least && value <= 1e15)) {
-                throw new Invalid(at + "/" + field, "out of range");
-            }
-            return value;
-        }
+    private static double fraction(JsonObject from, String at, String field, double least)
+        throws Invalid {
+      var item = from.get(field);
+      if (item == null || !item.isJsonPrimitive() || !item.getAsJsonPrimitive().isNumber()) {
+        throw new Invalid(at + "/" + field, "a number is wanted");
+      }
+      var value = item.getAsDouble();
+      if (!(value >= least && value <= 1e15)) {
+        throw new Invalid(at + "/" + field, "out of range");
+      }
+      return value;
+    }
 
-        private static long whole(JsonObject from, String at, String field, long least, long most) throws Invalid {
-            var value = fraction(from, at, field, least);
-            if (value != Math.rint(value) || value > most) {
-                throw new Invalid(at + "/" + field, "a whole number in range is wanted");
-            }
-            return (long) value;
-        }
+    private static long whole(JsonObject from, String at, String field, long least, long most)
+        throws Invalid {
+      var value = fraction(from, at, field, least);
+      if (value != Math.rint(value) || value > most) {
+        throw new Invalid(at + "/" + field, "a whole number in range is wanted");
+      }
+      return (long) value;
+    }
 
-        private static long us(JsonObject from, String at, String field, double least) throws Invalid {
-            return Math.round(fraction(from, at, field, least) * 1000);
-        }
+    private static long us(JsonObject from, String at, String field, double least) throws Invalid {
+      return Math.round(fraction(from, at, field, least) * 1000);
+    }
 
-        private static boolean flag(JsonObject from, String at, String field) throws Invalid {
-            if (!from.has(field)) {
-                return false;
-            }
-            var item = from.get(field);
-            if (!item.isJsonPrimitive() || !item.getAsJsonPrimitive().isBoolean()) {
-                throw new Invalid(at + "/" + field, "true or false is wanted");
-            }
-            return item.getAsBoolean();
-        }
+    private static boolean flag(JsonObject from, String at, String field) throws Invalid {
+      if (!from.has(field)) {
+        return false;
+      }
+      var item = from.get(field);
+      if (!item.isJsonPrimitive() || !item.getAsJsonPrimitive().isBoolean()) {
+        throw new Invalid(at + "/" + field, "true or false is wanted");
+      }
+      return item.getAsBoolean();
     }
+  }
 }
--- a/src/main/java/wellwheel/config/NodeOptions.java
+++ b/src/main/java/wellwheel/config/NodeOptions.java
@@ -10,86 +10,142 @@
 import java.util.List;
 import java.util.Optional;
 
-public record NodeOptions(String node, String ip, String zone, String front, String ready, String control, int innerPort, List<String> seeds,
-                      boolean firstBoot, String dataDir, int survive, long revokeUs, long applyUs, long windowUs, long visibleUs, long statusUs,
-                      long graceUs, String platform, double platformPerS, int maxFiles, double channelPerS, long syncUs, boolean watch, int surviveZones, History history) {
+public record NodeOptions(
+    String node,
+    String ip,
+    String zone,
+    String front,
+    String ready,
+    String control,
+    int innerPort,
+    List<String> seeds,
+    boolean firstBoot,
+    String dataDir,
+    int survive,
+    long revokeUs,
+    long applyUs,
+    long windowUs,
+    long visibleUs,
+    long statusUs,
+    long graceUs,
+    String platform,
+    double platformPerS,
+    int maxFiles,
+    double channelPerS,
+    long syncUs,
+    boolean watch,
+    int surviveZones,
+    History history) {
 
-    public record History(boolean enabled, long intervalUs, long flushUs) { }
+  public record History(boolean enabled, long intervalUs, long flushUs) {}
 
-    public static final class Unusable extends Exception {
-        Unusable(String why) {
-            super(why);
-        }
+  public static final class Unusable extends Exception {
+    Unusable(String why) {
+      super(why);
     }
+  }
 
-    public static NodeOptions load() throws Unusable {
-        var path = Optional.ofNullable(System.getenv("WELLWHEEL_CONFIG")).orElse("/etc/wellwheel/local.json");
-        try {
-            return read(Files.readString(Path.of(path)));
-        } catch (IOException e) {
-            throw new Unusable("cannot read " + path);
-        }
+  public static NodeOptions load() throws Unusable {
+    var path =
+        Optional.ofNullable(System.getenv("WELLWHEEL_CONFIG")).orElse("/etc/wellwheel/local.json");
+    try {
+      return read(Files.readString(Path.of(path)));
+    } catch (IOException e) {
+      throw new Unusable("cannot read " + path);
     }
+  }
 
-    public static NodeOptions read(String text) throws Unusable {
-        try {
-            var root = JsonParser.parseString(text).getAsJsonObject();
-            var listen = part(root, "ListenOn");
-            var timing = part(root, "Timing");
-            var platform = part(root, "PlatformApi");
-            var ip = need(root, "Ip").getAsString();
-            var control = word(listen, "Control", "");
-            var seeds = new ArrayList<String>();
-            need(root, "SeedNodes").getAsJsonArray().forEach(item -> seeds.add(item.getAsString()));
-            return new NodeOptions(need(root, "NodeName").getAsString(), ip, need(root, "Zone").getAsString(), word(listen, "FrontHttp", ""), word(listen, "Readiness", ""),
-                control, need(root, "InternalPorts").getAsJsonArray().get(0).getAsInt(), List.copyOf(seeds), root.has("FirstBoot") && root.get("FirstBoot").getAsBoolean(),
-                word(root, "DataDir", ""), (int) amount(part(root, "Survive"), "Machines", 1), us(timing, "RevokeWithinMs", 5000), us(timing, "ApplyWithinMs", 3000),
-                (long) (amount(timing, "QuotaWindowS", 5) * 1e6), us(timing, "VisibleAfterMs", 3000), (long) (amount(timing, "StatusForS", 120) * 1e6),
-                (long) (amount(timing, "GraceS", 6) * 1e6), word(platform, "Address", ""), amount(platform, "RatePerS", 1),
-                (int) amount(part(root, "Caps"), "MaxFiles", 4096), amount(part(root, "Admission"), "ChannelPerS", 500), us(part(root, "Admission"), "SyncEveryMs", 100),
-                part(root, "Watch").has("Enabled") && part(root, "Watch").get("Enabled").getAsBoolean(),
-                (int) amount(part(root, "Survive"), "Zones", 0), history(part(root, "History")));
-        } catch (RuntimeException e) {
-            throw new Unusable("the options file is not usable: " + e.getMessage());
-        }
+  public static NodeOptions read(String text) throws Unusable {
+    try {
+      var root = JsonParser.parseString(text).getAsJsonObject();
+      var listen = part(root, "ListenOn");
+      var timing = part(root, "Timing");
+      var platform = part(root, "PlatformApi");
+      var ip = need(root, "Ip").getAsString();
+      var control = word(listen, "Control", "");
+      var seeds = new ArrayList<String>();
+      need(root, "SeedNodes").getAsJsonArray().forEach(item -> seeds.add(item.getAsString()));
+      return new NodeOptions(
+          need(root, "NodeName").getAsString(),
+          ip,
+          need(root, "Zone").getAsString(),
+          word(listen, "FrontHttp", ""),
+          word(listen, "Readiness", ""),
+          control,
+          need(root, "InternalPorts").getAsJsonArray().get(0).getAsInt(),
+          List.copyOf(seeds),
+          root.has("FirstBoot") && root.get("FirstBoot").getAsBoolean(),
+          word(root, "DataDir", ""),
+          (int) amount(part(root, "Survive"), "Machines", 1),
+          us(timing, "RevokeWithinMs", 5000),
+          us(timing, "ApplyWithinMs", 3000),
+          (long) (amount(timing, "QuotaWindowS", 5) * 1e6),
+          us(timing, "VisibleAfterMs", 3000),
+          (long) (amount(timing, "StatusForS", 120) * 1e6),
+          (long) (amount(timing, "GraceS", 6) * 1e6),
+          word(platform, "Address", ""),
+          amount(platform, "RatePerS", 1),
+          (int) amount(part(root, "Caps"), "MaxFiles", 4096),
+          amount(part(root, "Admission"), "ChannelPerS", 500),
+          us(part(root, "Admission"), "SyncEveryMs", 100),
+          part(root, "Watch").has("Enabled") && part(root, "Watch").get("Enabled").getAsBoolean(),
+          (int) amount(part(root, "Survive"), "Zones", 0),
+          history(part(root, "History")));
+    } catch (RuntimeException e) {
+      throw new Unusable("the options file is not usable: " + e.getMessage());
     }
+  }
 
-    private static History history(JsonObject from) {
-        var found = new History(from.has("Enabled") && from.get("Enabled").getAsBoolean(), (long) (amount(from, "IntervalS", 3600) * 1e6), (long) (amount(from, "FlushS", 60) * 1e6));
-        if (found.intervalUs < 1_000_000 || found.intervalUs > 86_400_000_000L || found.flushUs < 500_000 || found.flushUs > found.intervalUs) {
-            throw new IllegalArgumentException("History: IntervalS is 1 to 86400, FlushS 0.5 to IntervalS");
-        }
-        return found;
+  private static History history(JsonObject from) {
+    var found =
+        new History(
+            from.has("Enabled") && from.get("Enabled").getAsBoolean(),
+            (long) (amount(from, "IntervalS", 3600) * 1e6),
+            (long) (amount(from, "FlushS", 60) * 1e6));
+    if (found.intervalUs < 1_000_000
+        || found.intervalUs > 86_400_000_000L
+        || found.flushUs < 500_000
+        || found.flushUs > found.intervalUs) {
+      throw new IllegalArgumentException(
+          "History: IntervalS is 1 to 86400, FlushS 0.5 to IntervalS");
     }
+    return found;
+  }
 
-    private static JsonElement need(JsonObject from, String field) {
-        if (!from.has(field) || from.get(field).isJsonNull()) {
-            throw new IllegalArgumentException(field + " is missing");
-        }
-        return from.get(field);
+  private static JsonElement need(JsonObject from, String field) {
+    if (!from.has(field) || from.get(field).isJsonNull()) {
+      throw new IllegalArgumentException(field + " is missing");
     }
+    return from.get(field);
+  }
 
-    private static JsonObject part(JsonObject from, String field) {
-        return from.has(field) && from.get(field).isJsonObject() ? from.getAsJsonObject(field) : new JsonObject();
-    }
+  private static JsonObject part(JsonObject from, String field) {
+    return from.has(field) && from.get(field).isJsonObject()
+        ? from.getAsJsonObject(field)
+        : new JsonObject();
+  }
 
-    private static String word(JsonObject from, String field, String otherwise) {
-        return from.has(field) && !from.get(field).isJsonNull() ? from.get(field).getAsString() : otherwise;
-    }
+  private static String word(JsonObject from, String field, String otherwise) {
+    return from.has(field) && !from.get(field).isJsonNull()
+        ? from.get(field).getAsString()
+        : otherwise;
+  }
 
-    private static double amount(JsonObject from, String field, double otherwise) {
-        return from.has(field) && !from.get(field).isJsonNull() ? from.get(field).getAsDouble() : otherwise;
-    }
+  private static double amount(JsonObject from, String field, double otherwise) {
+    return from.has(field) && !from.get(field).isJsonNull()
+        ? from.get(field).getAsDouble()
+        : otherwise;
+  }
 
-    private static long us(JsonObject from, String field, double otherwiseMs) {
-        return Math.round(amount(from, field, otherwiseMs) * 1000);
-    }
+  private static long us(JsonObject from, String field, double otherwiseMs) {
+    return Math.round(amount(from, field, otherwiseMs) * 1000);
+  }
 
-    public static String hostOf(String address) {
-        return address.substring(0, address.lastIndexOf(':'));
-    }
+  public static String hostOf(String address) {
+    return address.substring(0, address.lastIndexOf(':'));
+  }
 
-    public static int portOf(String address) {
-        return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
-    }
+  public static int portOf(String address) {
+    return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+  }
 }
--- a/src/main/java/wellwheel/control/OperatorApi.java
+++ b/src/main/java/wellwheel/control/OperatorApi.java
@@ -1,8 +1,5 @@
 package wellwheel.control;
 
-import wellwheel.config.Configuration;
-import wellwheel.runtime.ResultCode;
-import wellwheel.transport.Frame;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -13,134 +10,155 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import wellwheel.config.Configuration;
+import wellwheel.runtime.ResultCode;
+import wellwheel.transport.Frame;
 
 final class OperatorApi {
-    static final int TAKEN_MOST = 4096;
-    private static final System.Logger LOG = System.getLogger("orders");
-    private static final byte[] NO_CONFIG = "{\"Revision\":0,\"Routing\":[],\"Backends\":[]}".getBytes(StandardCharsets.UTF_8);
-    private byte[] config = {};
-    private Configuration configuration = Configuration.NONE;
-    private final TreeMap<Long, String> taken = new TreeMap<>();
-    private final Set<String> digests = new HashSet<>();
-    private long forgotten = -1;
-
-    record Verdict(boolean proper, boolean provable, ControlNode.Reply reply) {
-        static Verdict sure(ControlNode.Reply reply) {
-            return new Verdict(false, false, reply);
-        }
-
-        static Verdict byState(ControlNode.Reply reply) {
-            return new Verdict(false, true, reply);
-        }
+  static final int TAKEN_MOST = 4096;
+  private static final System.Logger LOG = System.getLogger("orders");
+  private static final byte[] NO_CONFIG =
+      "{\"Revision\":0,\"Routing\":[],\"Backends\":[]}".getBytes(StandardCharsets.UTF_8);
+  private byte[] config = {};
+  private Configuration configuration = Configuration.NONE;
+  private final TreeMap<Long, String> taken = new TreeMap<>();
+  private final Set<String> digests = new HashSet<>();
+  private long forgotten = -1;
+
+  record Verdict(boolean proper, boolean provable, ControlNode.Reply reply) {
+    static Verdict sure(ControlNode.Reply reply) {
+      return new Verdict(false, false, reply);
     }
 
-    Configuration configuration() {
-        return configuration;
+    static Verdict byState(ControlNode.Reply reply) {
+      return new Verdict(false, true, reply);
     }
+  }
 
-    byte[] config() {
-        return config;
-    }
+  Configuration configuration() {
+    return configuration;
+  }
 
-    byte[] readable() {
-        return config.length == 0 ? NO_CONFIG : config;
-    }
+  byte[] config() {
+    return config;
+  }
 
-    boolean tookEver(byte[] bytes) {
-        return digests.contains(digest(bytes));
-    }
+  byte[] readable() {
+    return config.length == 0 ? NO_CONFIG : config;
+  }
 
-    Verdict judge(byte[] bytes, Optional<Long> base) {
-        if (tookEver(bytes)) {
-            return Verdict.sure(ControlNode.Reply.of(ResultCode.FINE));
-        }
-        try {
-            return judge(Configuration.read(bytes), base);
-        } catch (Configuration.Invalid e) {
-            return Verdict.sure(ControlNode.Reply.of(ResultCode.BAD_CONFIG, e.getMessage()));
-        }
-    }
+  boolean tookEver(byte[] bytes) {
+    return digests.contains(digest(bytes));
+  }
 
-    private Verdict judge(Configuration next, Optional<Long> base) {
-        if (base.isEmpty()) {
-            return Verdict.sure(ControlNode.Reply.of(ResultCode.BAD_CONFIG, "Based-On-Version is missing or not a number"));
-        }
-        if (base.get() != configuration.revision()) {
-            return Verdict.byState(loser(base.get()));
-        }
-        if (next.revision() <= configuration.revision()) {
-            return Verdict.byState(ControlNode.Reply.of(ResultCode.BAD_CONFIG, "/Revision: not above the current " + configuration.revision()));
-        }
-        return new Verdict(true, false, ControlNode.Reply.of(ResultCode.FINE));
+  Verdict judge(byte[] bytes, Optional<Long> base) {
+    if (tookEver(bytes)) {
+      return Verdict.sure(ControlNode.Reply.of(ResultCode.FINE));
     }
-
-    ControlNode.Reply outcome(byte[] bytes, long base) {
-        return tookEver(bytes) ? ControlNode.Reply.of(ResultCode.FINE) : loser(base);
+    try {
+      return judge(Configuration.read(bytes), base);
+    } catch (Configuration.Invalid e) {
+      return Verdict.sure(ControlNode.Reply.of(ResultCode.BAD_CONFIG, e.getMessage()));
     }
+  }
 
-    private ControlNode.Reply loser(long base) {
-        return base <= forgotten ? ControlNode.Reply.of(ResultCode.NO_LEADER, "unclear: built on a version too old to remember")
-            : ControlNode.Reply.of(ResultCode.OTHER_BASE, "the current version is " + configuration.revision());
+  private Verdict judge(Configuration next, Optional<Long> base) {
+    if (base.isEmpty()) {
+      return Verdict.sure(
+          ControlNode.Reply.of(
+              ResultCode.BAD_CONFIG, "Based-On-Version is missing or not a number"));
     }
-
-    void apply(long base, byte[] bytes) {
-        if (base != configuration.revision()) {
-            return;
-        }
-        try {
-            var next = Configuration.read(bytes);
-            if (next.revision() > configuration.revision()) {
-                configuration = next;
-                config = bytes;
-                remember(base, digest(bytes));
-            }
-        } catch (Configuration.Invalid e) {
-            LOG.log(System.Logger.Level.ERROR, "refused at apply: " + e.getMessage());
-        }
+    if (base.get() != configuration.revision()) {
+      return Verdict.byState(loser(base.get()));
     }
-
-    private void remember(long base, String digest) {
-        taken.put(base, digest);
-        digests.add(digest);
-        while (taken.size() > TAKEN_MOST) {
-            var oldest = taken.pollFirstEntry();
-            digests.remove(oldest.getValue());
-            forgotten = oldest.getKey();
-        }
+    if (next.revision() <= configuration.revision()) {
+      return Verdict.byState(
+          ControlNode.Reply.of(
+              ResultCode.BAD_CONFIG,
+              "/Revision: not above the current " + configuration.revision()));
     }
-
-    void save(Frame state) {
-        var rows = new ArrayList<Object>();
-        taken.forEach((base, digest) -> rows.add(Frame.of("order").with("base", base).with("digest", HexFormat.of().parseHex(digest))));
-        state.with("config", config).with("orders", rows).with("forgotten", forgotten + 1);
+    return new Verdict(true, false, ControlNode.Reply.of(ResultCode.FINE));
+  }
+
+  ControlNode.Reply outcome(byte[] bytes, long base) {
+    return tookEver(bytes) ? ControlNode.Reply.of(ResultCode.FINE) : loser(base);
+  }
+
+  private ControlNode.Reply loser(long base) {
+    return base <= forgotten
+        ? ControlNode.Reply.of(
+            ResultCode.NO_LEADER, "unclear: built on a version too old to remember")
+        : ControlNode.Reply.of(
+            ResultCode.OTHER_BASE, "the current version is " + configuration.revision());
+  }
+
+  void apply(long base, byte[] bytes) {
+    if (base != configuration.revision()) {
+      return;
     }
-
-    void restore(Frame state) {
-        config = state.bytes("config");
-        try {
-            configuration = config.length == 0 ? Configuration.NONE : Configuration.read(config);
-        } catch (Configuration.Invalid e) {
-            throw new IllegalArgumentException("a configuration that cannot be read: " + e.getMessage(), e);
-        }
-        taken.clear();
-        digests.clear();
-        forgotten = state.number("forgotten") - 1;
-        state.frames("orders").forEach(row -> remember(row.number("base"), HexFormat.of().formatHex(row.bytes("digest"))));
-        restoreFormer(state.texts("taken"));
+    try {
+      var next = Configuration.read(bytes);
+      if (next.revision() > configuration.revision()) {
+        configuration = next;
+        config = bytes;
+        remember(base, digest(bytes));
+      }
+    } catch (Configuration.Invalid e) {
+      LOG.log(System.Logger.Level.ERROR, "refused at apply: " + e.getMessage());
     }
-
-    private void restoreFormer(List<String> former) {
-        if (!former.isEmpty()) {
-            digests.addAll(former);
-            forgotten = configuration.revision() - 1;
-        }
+  }
+
+  private void remember(long base, String digest) {
+    taken.put(base, digest);
+    digests.add(digest);
+    while (taken.size() > TAKEN_MOST) {
+      var oldest = taken.pollFirstEntry();
+      digests.remove(oldest.getValue());
+      forgotten = oldest.getKey();
+    }
+  }
+
+  void save(Frame state) {
+    var rows = new ArrayList<Object>();
+    taken.forEach(
+        (base, digest) ->
+            rows.add(
+                Frame.of("order")
+                    .with("base", base)
+                    .with("digest", HexFormat.of().parseHex(digest))));
+    state.with("config", config).with("orders", rows).with("forgotten", forgotten + 1);
+  }
+
+  void restore(Frame state) {
+    config = state.bytes("config");
+    try {
+      configuration = config.length == 0 ? Configuration.NONE : Configuration.read(config);
+    } catch (Configuration.Invalid e) {
+      throw new IllegalArgumentException(
+          "a configuration that cannot be read: " + e.getMessage(), e);
+    }
+    taken.clear();
+    digests.clear();
+    forgotten = state.number("forgotten") - 1;
+    state
+        .frames("orders")
+        .forEach(
+            row -> remember(row.number("base"), HexFormat.of().formatHex(row.bytes("digest"))));
+    restoreFormer(state.texts("taken"));
+  }
+
+  private void restoreFormer(List<String> former) {
+    if (!former.isEmpty()) {
+      digests.addAll(former);
+      forgotten = configuration.revision() - 1;
     }
+  }
 
-    private static String digest(byte[] bytes) {
-        try {
-            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes), 0, 16);
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException(e);
-        }
+  private static String digest(byte[] bytes) {
+    try {
+      return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes), 0, 16);
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e);
     }
+  }
 }
--- a/src/main/java/wellwheel/edge/GracefulShutdown.java
+++ b/src/main/java/wellwheel/edge/GracefulShutdown.java
@@ -1,19 +1,23 @@
 package wellwheel.edge;
 
 final class GracefulShutdown {
-    enum Step { STAY, FLUSH, END }
+  enum Step {
+    STAY,
+    FLUSH,
+    END
+  }
 
-    private boolean flushed;
+  private boolean flushed;
 
-    Step step(boolean idle) {
-        if (!idle) {
-            flushed = false;
-            return Step.STAY;
-        }
-        if (!flushed) {
-            flushed = true;
-            return Step.FLUSH;
-        }
-        return Step.END;
+  Step step(boolean idle) {
+    if (!idle) {
+      flushed = false;
+      return Step.STAY;
     }
+    if (!flushed) {
+      flushed = true;
+      return Step.FLUSH;
+    }
+    return Step.END;
+  }
 }
--- a/src/main/java/wellwheel/queue/StorageNode.java
+++ b/src/main/java/wellwheel/queue/StorageNode.java
@@ -1,17 +1,5 @@
 package wellwheel.queue;
 
-import wellwheel.cluster.ClusterLease;
-import wellwheel.cluster.ClusterView;
-import wellwheel.cluster.Rollout;
-import wellwheel.config.Configuration;
-import wellwheel.config.NodeOptions;
-import wellwheel.history.QueueHistory;
-import wellwheel.runtime.Clock;
-import wellwheel.runtime.ResultCode;
-import wellwheel.storage.Disk;
-import wellwheel.storage.Journal;
-import wellwheel.transport.Frame;
-import wellwheel.transport.Network;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -27,1881 +15,2547 @@
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import wellwheel.cluster.ClusterLease;
+import wellwheel.cluster.ClusterView;
+import wellwheel.cluster.Rollout;
+import wellwheel.config.Configuration;
+import wellwheel.config.NodeOptions;
+import wellwheel.history.QueueHistory;
+import wellwheel.runtime.Clock;
+import wellwheel.runtime.ResultCode;
+import wellwheel.storage.Disk;
+import wellwheel.storage.Journal;
+import wellwheel.transport.Frame;
+import wellwheel.transport.Network;
 
 public final class StorageNode implements Network.MessageHandler {
-    private static final System.Logger LOG = System.getLogger("storage");
-    private static final long LEG_FRESH_US = 2_500_000;
-    private static final long RESEND_US = 250_000;
-    private static final long RESEND_ALIVE_US = 1_500_000;
-    private static final long OVERDUE_US = 3_000_000;
-    private static final int HANDED_AT_ONCE = 128;
-    private static final int HOSTS_MOST = 4096;
-    private static final long LOST_US = 600_000;
-    private static final long STALL_US = 300_000;
-    private static final long LULL_US = 300_000;
-    private static final long LEG_SLACK_US = 150_000;
-    private static final long LIVE_BYTES_MOST = 64L << 20;
-    private static final long LONG_JOURNAL = 48L << 20;
-    private static final int ORPHANS_MOST = 1024;
-    private static final long ORPHAN_US = 8_000_000;
-    private static final long UNTOLD_US = 60_000;
-    private static final int STEP_ROWS_MOST = 400;
-    private static final int MESSAGES_MOST = 150_000;
-    private static final int DEMANDS_MOST = 4096;
-    private static final int ASIDE_MOST = 64;
-    private static final int ASKED_MOST = 12;
-
-    private static final class Joining {
-        final String node;
-        boolean asked;
-        boolean spoken;
-        boolean level;
-        int owed;
-        final Set<Message> missing = new LinkedHashSet<>();
-        final Set<String> absent = new HashSet<>();
-        final Set<String> bodiless = new HashSet<>();
-        long askedUs;
-        final long sinceUs;
-        final long epoch;
-
-        Joining(String node, long epoch, long nowUs) {
-            this.node = node;
-            this.epoch = epoch;
-            this.sinceUs = nowUs;
-        }
-    }
-
-    private static final class Pending {
-        final long seq;
-        final Supplier<Frame> record;
-        final boolean sync;
-        final Set<String> owing = new HashSet<>();
-        final Runnable then;
-        final long sinceUs;
-        long sentUs;
-        boolean local;
-
-        Pending(long seq, Supplier<Frame> record, boolean sync, Runnable then, long nowUs) {
-            this.seq = seq;
-            this.record = record;
-            this.sync = sync;
-            this.then = then;
-            this.sinceUs = nowUs;
-            this.sentUs = nowUs;
-        }
-    }
-
-    private static final class Partition {
-        final int number;
-        ClusterView.Partition place;
-        boolean seen;
-        Optional<Runnable> askedUnseen = Optional.empty();
-        boolean open;
-        boolean member;
-        boolean comparing;
-        long epoch;
-        long seq;
-        long lastNumber;
-        long openedEpoch;
-        long low;
-        long lowTold;
-        long spokeUs;
-        final Map<String, Message> messages = new LinkedHashMap<>();
-        final Map<String, ArrayDeque<Message>> orders = new HashMap<>();
-        final TreeMap<Long, Pending> pending = new TreeMap<>();
-        final Map<String, Joining> peers = new LinkedHashMap<>();
-        final Map<String, Orphan> orphans = new LinkedHashMap<>();
-
-        Partition(int number) {
-            this.number = number;
-            this.place = ClusterView.Partition.unknown(number);
-        }
-
-        boolean whole() {
-            return place.whole() && place.backups().stream().allMatch(node -> peers.containsKey(node) && peers.get(node).level);
-        }
-    }
-
-    private record Orphan(Frame outcome, long untilUs) { }
-
-    private record Timed(long atUs, Message message, long stamp) { }
-
-    private final NodeOptions options;
-    private final Clock clock;
-    private final Network wire;
-    private final Journal journal;
-    private final DeliveryClient deliveryClient;
-    private final Random random;
-    private final ClusterLease clusterLease;
-    private final StragglerDetector stragglers = new StragglerDetector();
-    private final RolloutRouter versions = new RolloutRouter();
-    private final QueueHistory history;
-    private final StepDependencies steps;
-    private final String id;
-    private final Map<String, Long> heardUs = new HashMap<>();
-    private final Map<String, Long> brokenUs = new HashMap<>();
-    private final Map<Integer, Partition> partitions = new TreeMap<>();
-    private final Map<String, Dispatcher> dispatchers = new HashMap<>();
-    private final PriorityQueue<Timed> agenda = new PriorityQueue<>((a, b) -> Long.compare(a.atUs(), b.atUs()));
-    private long agendaAtUs = Long.MAX_VALUE;
-    private long tickedUs;
-    private long awakeSinceUs;
-    private long inTouchSinceUs;
-    private long liveBytes;
-    private boolean leaving;
-    private boolean rewriting;
-    private long rewrittenBytes;
-    private int attemptsRunning;
-    private long purgedUs;
-    private int asks;
-    private String diskId = "";
-    private boolean fresh;
-
-    public StorageNode(NodeOptions options, Clock clock, Network wire, Disk disk, DeliveryClient deliveryClient, long seed) {
-        this.options = options;
-        this.clock = clock;
-        this.wire = wire;
-        this.deliveryClient = deliveryClient;
-        this.random = new Random(seed);
-        this.journal = new Journal(disk, "keeper.journal", options.node());
-        journal.replay(record -> recover(Frame.unpack(record)));
-        doubtLastEnds();
-        if (diskId.isEmpty()) {
-            fresh = true;
-            diskId = Long.toHexString(random.nextLong() & 0xffffffffffL);
-            journal.append(Frame.of("disk").with("id", diskId).pack(), () -> { });
-        }
-        id = options.node() + "#" + diskId;
-        var life = Long.toHexString(random.nextLong());
-        var seeds = options.seeds().stream().map(NodeOptions::hostOf).toList();
-        steps = new StepDependencies(clock, this::askStep);
-        history = new QueueHistory(options, life, Optional.of(disk), this::coreNowUs);
-        clusterLease = new ClusterLease(clock, wire, id, seeds, () -> Frame.of("claim").with("role", "storage").with("zone", options.zone()).with("leaving", leaving).with("life", life).with("tally", versions.rows()), this::onNews);
-    }
-
-    private long coreNowUs() {
-        return clusterLease.coreUs();
-    }
-
-    private String serviceOf(Message message) {
-        return clusterLease.configuration().path(message.host, message.target).map(Configuration.Path::service).orElse("");
-    }
-
-    private void keepHistory() {
-        if (!clusterLease.knowsCore()) {
-            return;
-        }
-        history.tick();
-        if (!history.flushDue()) {
-            return;
-        }
-        clusterLease.roster().stream().map(ClusterView.Processor::service).distinct().forEach(service -> history.slots(service, clusterLease.roster().stream().filter(each -> each.service().equals(service)).mapToLong(ClusterView.Processor::capacity).sum()));
-        dispatchers.values().stream().filter(dispatcher -> clusterLease.configuration().service(dispatcher.service).map(Configuration.Service::pull).orElse(false)).forEach(dispatcher -> history.slots(dispatcher.service, dispatcher.demands.size() + running(dispatcher.service)));
-        var waiting = new HashMap<List<String>, Long>();
-        partitions.values().stream().filter(partition -> partition.open).flatMap(partition -> partition.messages.values().stream()).filter(message -> message.waiting() && message.dueUs <= clusterLease.coreUs()).forEach(message -> waiting.merge(List.of(message.tenant, serviceOf(message)), 1L, Long::sum));
-        waiting.forEach((key, count) -> history.waits(key.get(0), key.get(1), count));
-        var storageNodes = clusterLease.view().members("storage");
-        var mine = storageNodes.stream().map(ClusterView.Member::id).toList().indexOf(id);
-        history.flush().ifPresent(frame -> {
-            for (var step = 1; step <= Math.min(options.survive(), storageNodes.size() - 1); step++) {
+  private static final System.Logger LOG = System.getLogger("storage");
+  private static final long LEG_FRESH_US = 2_500_000;
+  private static final long RESEND_US = 250_000;
+  private static final long RESEND_ALIVE_US = 1_500_000;
+  private static final long OVERDUE_US = 3_000_000;
+  private static final int HANDED_AT_ONCE = 128;
+  private static final int HOSTS_MOST = 4096;
+  private static final long LOST_US = 600_000;
+  private static final long STALL_US = 300_000;
+  private static final long LULL_US = 300_000;
+  private static final long LEG_SLACK_US = 150_000;
+  private static final long LIVE_BYTES_MOST = 64L << 20;
+  private static final long LONG_JOURNAL = 48L << 20;
+  private static final int ORPHANS_MOST = 1024;
+  private static final long ORPHAN_US = 8_000_000;
+  private static final long UNTOLD_US = 60_000;
+  private static final int STEP_ROWS_MOST = 400;
+  private static final int MESSAGES_MOST = 150_000;
+  private static final int DEMANDS_MOST = 4096;
+  private static final int ASIDE_MOST = 64;
+  private static final int ASKED_MOST = 12;
+
+  private static final class Joining {
+    final String node;
+    boolean asked;
+    boolean spoken;
+    boolean level;
+    int owed;
+    final Set<Message> missing = new LinkedHashSet<>();
+    final Set<String> absent = new HashSet<>();
+    final Set<String> bodiless = new HashSet<>();
+    long askedUs;
+    final long sinceUs;
+    final long epoch;
+
+    Joining(String node, long epoch, long nowUs) {
+      this.node = node;
+      this.epoch = epoch;
+      this.sinceUs = nowUs;
+    }
+  }
+
+  private static final class Pending {
+    final long seq;
+    final Supplier<Frame> record;
+    final boolean sync;
+    final Set<String> owing = new HashSet<>();
+    final Runnable then;
+    final long sinceUs;
+    long sentUs;
+    boolean local;
+
+    Pending(long seq, Supplier<Frame> record, boolean sync, Runnable then, long nowUs) {
+      this.seq = seq;
+      this.record = record;
+      this.sync = sync;
+      this.then = then;
+      this.sinceUs = nowUs;
+      this.sentUs = nowUs;
+    }
+  }
+
+  private static final class Partition {
+    final int number;
+    ClusterView.Partition place;
+    boolean seen;
+    Optional<Runnable> askedUnseen = Optional.empty();
+    boolean open;
+    boolean member;
+    boolean comparing;
+    long epoch;
+    long seq;
+    long lastNumber;
+    long openedEpoch;
+    long low;
+    long lowTold;
+    long spokeUs;
+    final Map<String, Message> messages = new LinkedHashMap<>();
+    final Map<String, ArrayDeque<Message>> orders = new HashMap<>();
+    final TreeMap<Long, Pending> pending = new TreeMap<>();
+    final Map<String, Joining> peers = new LinkedHashMap<>();
+    final Map<String, Orphan> orphans = new LinkedHashMap<>();
+
+    Partition(int number) {
+      this.number = number;
+      this.place = ClusterView.Partition.unknown(number);
+    }
+
+    boolean whole() {
+      return place.whole()
+          && place.backups().stream()
+              .allMatch(node -> peers.containsKey(node) && peers.get(node).level);
+    }
+  }
+
+  private record Orphan(Frame outcome, long untilUs) {}
+
+  private record Timed(long atUs, Message message, long stamp) {}
+
+  private final NodeOptions options;
+  private final Clock clock;
+  private final Network wire;
+  private final Journal journal;
+  private final DeliveryClient deliveryClient;
+  private final Random random;
+  private final ClusterLease clusterLease;
+  private final StragglerDetector stragglers = new StragglerDetector();
+  private final RolloutRouter versions = new RolloutRouter();
+  private final QueueHistory history;
+  private final StepDependencies steps;
+  private final String id;
+  private final Map<String, Long> heardUs = new HashMap<>();
+  private final Map<String, Long> brokenUs = new HashMap<>();
+  private final Map<Integer, Partition> partitions = new TreeMap<>();
+  private final Map<String, Dispatcher> dispatchers = new HashMap<>();
+  private final PriorityQueue<Timed> agenda =
+      new PriorityQueue<>((a, b) -> Long.compare(a.atUs(), b.atUs()));
+  private long agendaAtUs = Long.MAX_VALUE;
+  private long tickedUs;
+  private long awakeSinceUs;
+  private long inTouchSinceUs;
+  private long liveBytes;
+  private boolean leaving;
+  private boolean rewriting;
+  private long rewrittenBytes;
+  private int attemptsRunning;
+  private long purgedUs;
+  private int asks;
+  private String diskId = "";
+  private boolean fresh;
+
+  public StorageNode(
+      NodeOptions options,
+      Clock clock,
+      Network wire,
+      Disk disk,
+      DeliveryClient deliveryClient,
+      long seed) {
+    this.options = options;
+    this.clock = clock;
+    this.wire = wire;
+    this.deliveryClient = deliveryClient;
+    this.random = new Random(seed);
+    this.journal = new Journal(disk, "keeper.journal", options.node());
+    journal.replay(record -> recover(Frame.unpack(record)));
+    doubtLastEnds();
+    if (diskId.isEmpty()) {
+      fresh = true;
+      diskId = Long.toHexString(random.nextLong() & 0xffffffffffL);
+      journal.append(Frame.of("disk").with("id", diskId).pack(), () -> {});
+    }
+    id = options.node() + "#" + diskId;
+    var life = Long.toHexString(random.nextLong());
+    var seeds = options.seeds().stream().map(NodeOptions::hostOf).toList();
+    steps = new StepDependencies(clock, this::askStep);
+    history = new QueueHistory(options, life, Optional.of(disk), this::coreNowUs);
+    clusterLease =
+        new ClusterLease(
+            clock,
+            wire,
+            id,
+            seeds,
+            () ->
+                Frame.of("claim")
+                    .with("role", "storage")
+                    .with("zone", options.zone())
+                    .with("leaving", leaving)
+                    .with("life", life)
+                    .with("tally", versions.rows()),
+            this::onNews);
+  }
+
+  private long coreNowUs() {
+    return clusterLease.coreUs();
+  }
+
+  private String serviceOf(Message message) {
+    return clusterLease
+        .configuration()
+        .path(message.host, message.target)
+        .map(Configuration.Path::service)
+        .orElse("");
+  }
+
+  private void keepHistory() {
+    if (!clusterLease.knowsCore()) {
+      return;
+    }
+    history.tick();
+    if (!history.flushDue()) {
+      return;
+    }
+    clusterLease.roster().stream()
+        .map(ClusterView.Processor::service)
+        .distinct()
+        .forEach(
+            service ->
+                history.slots(
+                    service,
+                    clusterLease.roster().stream()
+                        .filter(each -> each.service().equals(service))
+                        .mapToLong(ClusterView.Processor::capacity)
+                        .sum()));
+    dispatchers.values().stream()
+        .filter(
+            dispatcher ->
+                clusterLease
+                    .configuration()
+                    .service(dispatcher.service)
+                    .map(Configuration.Service::pull)
+                    .orElse(false))
+        .forEach(
+            dispatcher ->
+                history.slots(
+                    dispatcher.service, dispatcher.demands.size() + running(dispatcher.service)));
+    var waiting = new HashMap<List<String>, Long>();
+    partitions.values().stream()
+        .filter(partition -> partition.open)
+        .flatMap(partition -> partition.messages.values().stream())
+        .filter(message -> message.waiting() && message.dueUs <= clusterLease.coreUs())
+        .forEach(
+            message -> waiting.merge(List.of(message.tenant, serviceOf(message)), 1L, Long::sum));
+    waiting.forEach((key, count) -> history.waits(key.get(0), key.get(1), count));
+    var storageNodes = clusterLease.view().members("storage");
+    var mine = storageNodes.stream().map(ClusterView.Member::id).toList().indexOf(id);
+    history
+        .flush()
+        .ifPresent(
+            frame -> {
+              for (var step = 1;
+                  step <= Math.min(options.survive(), storageNodes.size() - 1);
+                  step++) {
                 wire.send(storageNodes.get((mine + step) % storageNodes.size()).ip(), frame);
-            }
-        });
-    }
-
-    private long running(String service) {
-        return partitions.values().stream().filter(partition -> partition.open).flatMap(partition -> partition.messages.values().stream()).filter(message -> message.running && serviceOf(message).equals(service)).count();
-    }
-
-    private void startCounted(Message message, String service) {
-        message.attemptSinceUs = clusterLease.coreUs();
-        history.starts(message.tenant, service, message.attemptSinceUs - Math.max(message.freedUs, message.dueUs), message.aimUs, message.attempt == 1);
-    }
-
-    private void attemptCounted(Message message) {
-        if (message.attemptSinceUs > 0 && history.enabled()) {
-            history.legEnds(message.tenant, serviceOf(message), clusterLease.coreUs() - message.attemptSinceUs);
+              }
+            });
+  }
+
+  private long running(String service) {
+    return partitions.values().stream()
+        .filter(partition -> partition.open)
+        .flatMap(partition -> partition.messages.values().stream())
+        .filter(message -> message.running && serviceOf(message).equals(service))
+        .count();
+  }
+
+  private void startCounted(Message message, String service) {
+    message.attemptSinceUs = clusterLease.coreUs();
+    history.starts(
+        message.tenant,
+        service,
+        message.attemptSinceUs - Math.max(message.freedUs, message.dueUs),
+        message.aimUs,
+        message.attempt == 1);
+  }
+
+  private void attemptCounted(Message message) {
+    if (message.attemptSinceUs > 0 && history.enabled()) {
+      history.legEnds(
+          message.tenant, serviceOf(message), clusterLease.coreUs() - message.attemptSinceUs);
+    }
+    message.attemptSinceUs = 0;
+  }
+
+  public ClusterLease clusterLease() {
+    return clusterLease;
+  }
+
+  public String id() {
+    return id;
+  }
+
+  private void doubtLastEnds() {
+    var all =
+        partitions.values().stream()
+            .flatMap(partition -> partition.messages.values().stream())
+            .toList();
+    var lastUs =
+        all.stream()
+            .mapToLong(message -> Math.max(message.acceptedUs, message.endedUs))
+            .max()
+            .orElse(0);
+    all.stream()
+        .filter(
+            message ->
+                message.endedByWorker
+                    && message.state == Message.State.FINISHED
+                    && message.endedUs > lastUs - UNTOLD_US)
+        .forEach(message -> message.untold = true);
+  }
+
+  private Partition partition(int number) {
+    return partitions.computeIfAbsent(number, Partition::new);
+  }
+
+  private void recover(Frame record) {
+    switch (record.kind()) {
+      case "disk" -> diskId = record.text("id");
+      case "m", "u" -> upsert(partition(record.small("l")), record);
+      case "f" -> forget(partition(record.small("line")));
+      case "x" ->
+          Optional.ofNullable(partition(record.small("line")).messages.remove(record.text("id")))
+              .ifPresent(old -> liveBytes -= old.body.length);
+      default -> {}
+    }
+  }
+
+  private Optional<Message> upsert(Partition partition, Frame record) {
+    var message = partition.messages.get(record.text("i"));
+    if (message != null) {
+      if (!message.olderThan(record)) {
+        return Optional.of(message);
+      }
+      message.update(record);
+      if (record.kind().equals("m") && message.body.length == 0) {
+        message.body = record.bytes("b");
+        liveBytes += message.body.length;
+      }
+    } else if (record.kind().equals("m")) {
+      message = new Message(record);
+      partition.messages.put(message.id, message);
+      partition.lastNumber = Math.max(partition.lastNumber, message.number);
+      liveBytes += message.body.length;
+    }
+    return Optional.ofNullable(message);
+  }
+
+  private void forget(Partition partition) {
+    partition
+        .messages
+        .values()
+        .forEach(
+            message -> {
+              liveBytes -= message.body.length;
+              leaveTarget(message);
+            });
+    dispatchers
+        .values()
+        .forEach(
+            dispatcher -> dispatcher.removeIf(message -> message.partition == partition.number));
+    partition.messages.clear();
+    partition.orders.clear();
+    partition.pending.clear();
+    partition.peers.clear();
+    partition.comparing = false;
+  }
+
+  public synchronized void tick() {
+    clusterLease.tick();
+    var nowUs = clock.steadyUs();
+    noteOwnTrouble(nowUs);
+    partitions.values().forEach(partition -> tickPartition(partition, nowUs));
+    refreshDispatchers();
+    dispatchers.values().forEach(this::pump);
+    steps.tick(
+        message ->
+            partition(message.partition).open
+                && present(partition(message.partition), message)
+                && message.waiting()
+                && !message.after.isEmpty()
+                && message.heldBy.isEmpty());
+    if (history.enabled()) {
+      keepHistory();
+    }
+    if (options.watch()) {
+      stragglers
+          .report(dispatchers, clusterLease.coreUs())
+          .ifPresent(frame -> report(frame.with("node", id)));
+    }
+    if (nowUs - purgedUs > 1_000_000) {
+      purgedUs = nowUs;
+      purge();
+      compact();
+    }
+  }
+
+  private void noteOwnTrouble(long nowUs) {
+    if (nowUs - tickedUs > STALL_US) {
+      awakeSinceUs = nowUs;
+    }
+    if (nowUs - tickedUs > STALL_US || clusterLease.ageUs() > LOST_US) {
+      inTouchSinceUs = nowUs;
+    }
+    tickedUs = nowUs;
+  }
+
+  private void tickPartition(Partition partition, long nowUs) {
+    if (partition.seen && !partition.open && partition.place.primary().equals(id)) {
+      report(
+          Frame.of("line.reopen")
+              .with("line", partition.number)
+              .with("epoch", partition.place.epoch())
+              .with("node", id));
+    }
+    if (!partition.orphans.isEmpty()) {
+      partition.orphans.values().removeIf(orphan -> nowUs > orphan.untilUs());
+      bringHome(partition);
+    }
+    if (!partition.open) {
+      return;
+    }
+    partition.peers.values().forEach(join -> tickJoin(partition, join, nowUs));
+    if (partition.pending.isEmpty()
+        && partition.lowTold < partition.seq
+        && nowUs - partition.spokeUs > LULL_US) {
+      tellLow(partition);
+    }
+    for (var pending : partition.pending.values()) {
+      if (pending.owing.isEmpty() || nowUs - pending.sentUs < RESEND_US) {
+        continue;
+      }
+      var backInTouch = pending.sentUs < inTouchSinceUs && inTouchSinceUs < nowUs;
+      var again =
+          pending.owing.stream()
+              .filter(
+                  node ->
+                      backInTouch
+                          || nowUs - pending.sentUs > RESEND_ALIVE_US
+                          || brokenUs.getOrDefault(clusterLease.view().ipOf(node), Long.MIN_VALUE)
+                              >= pending.sentUs)
+              .toList();
+      if (!again.isEmpty()) {
+        pending.sentUs = nowUs;
+        again.forEach(node -> sendRep(partition, pending, node));
+      }
+      pending.owing.stream()
+          .filter(node -> overdue(node, pending.sinceUs, nowUs))
+          .toList()
+          .forEach(node -> reportLost(partition, node));
+    }
+  }
+
+  private boolean overdue(String node, long sinceUs, long nowUs) {
+    var silentUs =
+        nowUs
+            - Math.max(
+                Math.max(sinceUs, inTouchSinceUs),
+                heardUs.getOrDefault(clusterLease.view().ipOf(node), Long.MIN_VALUE / 2));
+    return silentUs > LOST_US || nowUs - Math.max(sinceUs, awakeSinceUs) > OVERDUE_US;
+  }
+
+  private void tickJoin(Partition partition, Joining join, long nowUs) {
+    if (join.level && join.node.equals(partition.place.joining())) {
+      report(
+          Frame.of("line.level")
+              .with("line", partition.number)
+              .with("epoch", partition.place.epoch())
+              .with("node", join.node));
+    } else if (!join.spoken && nowUs - join.askedUs > RESEND_US) {
+      if (nowUs - join.askedUs > RESEND_ALIVE_US
+          || brokenUs.getOrDefault(clusterLease.view().ipOf(join.node), Long.MIN_VALUE)
+              >= join.askedUs) {
+        askJoin(partition, join);
+      }
+      if (nowUs - join.sinceUs > 2 * LOST_US && overdue(join.node, join.sinceUs, nowUs)) {
+        reportLost(partition, join.node);
+      }
+    }
+  }
+
+  private void report(Frame frame) {
+    wire.send(clusterLease.control(), frame);
+  }
+
+  private void reportLost(Partition partition, String node) {
+    report(
+        Frame.of("line.lost")
+            .with("line", partition.number)
+            .with("epoch", partition.place.epoch())
+            .with("node", node));
+  }
+
+  private synchronized void onNews() {
+    versions.take(clusterLease.rollouts(), clusterLease.coreUs());
+    for (var place : clusterLease.view().partitions()) {
+      var partition = partition(place.number());
+      if (place.version() > partition.place.version()) {
+        moved(partition, place);
+        partition.askedUnseen.ifPresent(Runnable::run);
+        partition.askedUnseen = Optional.empty();
+      }
+    }
+    refreshDispatchers();
+    dispatchers.values().forEach(this::pump);
+  }
+
+  private void moved(Partition partition, ClusterView.Partition place) {
+    var first = !partition.seen;
+    var old = partition.place;
+    partition.place = place;
+    partition.seen = true;
+    if (place.epoch() < partition.epoch) {
+      return;
+    }
+    partition.epoch = place.epoch();
+    var mine = place.primary().equals(id);
+    if (!mine) {
+      stepDown(partition);
+      bringHome(partition);
+    }
+    if (!place.has(id)) {
+      partition.member = false;
+      if (place.whole() && !partition.messages.isEmpty()) {
+        forget(partition);
+        journal.append(Frame.of("f").with("line", partition.number).pack(), () -> {});
+      }
+      return;
+    }
+    var newborn = place.epoch() == 1 && fresh;
+    partition.member |= newborn;
+    if (!mine) {
+      return;
+    }
+    if (!partition.open && (!first || newborn)) {
+      open(partition);
+    }
+    if (partition.open) {
+      reconcile(partition, old);
+    }
+  }
+
+  private void stepDown(Partition partition) {
+    if (!partition.open) {
+      return;
+    }
+    partition.open = false;
+    partition.comparing = false;
+    partition.low = low(partition);
+    partition.pending.clear();
+    partition.peers.clear();
+    partition.orders.clear();
+    partition
+        .messages
+        .values()
+        .forEach(
+            message -> {
+              if (message.settling
+                  && message.endedLease.equals(message.lease)
+                  && !message.lease.isEmpty()) {
+                var result =
+                    message.state == Message.State.FINISHED
+                        ? DeliveryClient.Result.DONE
+                        : message.waiting()
+                            ? DeliveryClient.Result.FAILED
+                            : DeliveryClient.Result.REFUSED;
+                orphan(partition, message, message.lease, result, message.seal);
+              }
+              message.stamp++;
+              leaveTarget(message);
+              message.settling = false;
+              message.doubted = false;
+              message.settleWaiters.clear();
+              var waiters = List.copyOf(message.keptWaiters);
+              message.keptWaiters.clear();
+              waiters.forEach(waiter -> waiter.accept(false));
+            });
+    dispatchers
+        .values()
+        .forEach(
+            dispatcher -> dispatcher.removeIf(message -> message.partition == partition.number));
+  }
+
+  private void open(Partition partition) {
+    partition.open = true;
+    partition.openedEpoch = partition.epoch;
+    var wasMember = partition.member;
+    partition.member = true;
+    var nowUs = clusterLease.coreUs();
+    var ordered = new ArrayList<>(partition.messages.values());
+    ordered.sort((a, b) -> Long.compare(a.number, b.number));
+    var unsure =
+        new HashSet<>(
+            ordered.stream().filter(message -> wasMember && message.seq > partition.low).toList());
+    partition.comparing =
+        !wasMember && partition.place.whole() && !partition.place.backups().isEmpty();
+    partition.seq = Math.max(partition.seq, partition.epoch << 32);
+    for (var message : ordered) {
+      message.kept = !unsure.contains(message) && !partition.comparing;
+      message.settling = unsure.contains(message);
+      message.rev = message.settling ? Math.max(message.rev, partition.epoch << 20) : message.rev;
+      message.doubted = partition.comparing;
+      if (message.waiting()) {
+        enlist(partition, message);
+        var maybeRunning = !message.lease.isEmpty() && !message.lease.equals(message.endedLease);
+        if (maybeRunning || !wasMember) {
+          message.nextUs = Math.max(message.nextUs, nowUs + attemptTimeUs(message));
         }
-        message.attemptSinceUs = 0;
-    }
-
-    public ClusterLease clusterLease() {
-        return clusterLease;
-    }
-
-    public String id() {
-        return id;
-    }
-
-    private void doubtLastEnds() {
-        var all = partitions.values().stream().flatMap(partition -> partition.messages.values().stream()).toList();
-        var lastUs = all.stream().mapToLong(message -> Math.max(message.acceptedUs, message.endedUs)).max().orElse(0);
-        all.stream().filter(message -> message.endedByWorker && message.state == Message.State.FINISHED && message.endedUs > lastUs - UNTOLD_US).forEach(message -> message.untold = true);
-    }
-
-    private Partition partition(int number) {
-        return partitions.computeIfAbsent(number, Partition::new);
+        message.running = false;
+      }
     }
-
-    private void recover(Frame record) {
-        switch (record.kind()) {
-            case "disk" -> diskId = record.text("id");
-            case "m", "u" -> upsert(partition(record.small("l")), record);
-            case "f" -> forget(partition(record.small("line")));
-            case "x" -> Optional.ofNullable(partition(record.small("line")).messages.remove(record.text("id"))).ifPresent(old -> liveBytes -= old.body.length);
-            default -> { }
+    for (var message : ordered) {
+      if (message.waiting()) {
+        arrange(partition, message);
+      }
+    }
+    ordered.stream()
+        .filter(unsure::contains)
+        .forEach(
+            message ->
+                replicate(
+                    partition,
+                    message,
+                    message::whole,
+                    true,
+                    () -> {
+                      message.kept |= partition.whole();
+                      message.settling = false;
+                      keptNow(partition, message);
+                      runSettleWaiters(message);
+                      arrange(partition, message);
+                    }));
+    dispatchers
+        .values()
+        .forEach(
+            dispatcher -> {
+              dispatcher.tokens = 0;
+              dispatcher.tokensAtUs = nowUs;
+            });
+  }
+
+  private long attemptTimeUs(Message message) {
+    var path = clusterLease.configuration().path(message.host, message.target);
+    var pulled =
+        path.flatMap(p -> clusterLease.configuration().service(p.service()))
+            .map(Configuration.Service::pull)
+            .orElse(true);
+    return pulled ? options.visibleUs() + 50_000 : path.get().giveUpUs() + LEG_SLACK_US;
+  }
+
+  private void enlist(Partition partition, Message message) {
+    if (!message.orderKey.isEmpty()) {
+      partition
+          .orders
+          .computeIfAbsent(message.orderName(), name -> new ArrayDeque<>())
+          .addLast(message);
+    }
+  }
+
+  private void reconcile(Partition partition, ClusterView.Partition old) {
+    var place = partition.place;
+    if (place.epoch() > old.epoch() + 1) {
+      partition.peers.clear();
+    }
+    if (place.whole() != old.whole()) {
+      LOG.log(
+          System.Logger.Level.DEBUG,
+          "partition "
+              + partition.number
+              + " epoch "
+              + place.epoch()
+              + (place.whole() ? " is whole" : " has too few copies"));
+    }
+    var members = new ArrayList<>(place.backups());
+    if (!place.joining().isEmpty()) {
+      members.add(place.joining());
+    }
+    partition.peers.keySet().retainAll(members);
+    if (!place.joining().equals(old.joining()) && old.has(place.joining())) {
+      partition.peers.remove(place.joining());
+    }
+    members.stream()
+        .filter(node -> !partition.peers.containsKey(node))
+        .forEach(node -> meet(partition, node));
+    for (var pending : List.copyOf(partition.pending.values())) {
+      pending.owing.retainAll(members);
+      pending.sentUs = clock.steadyUs();
+      pending.owing.forEach(node -> sendRep(partition, pending, node));
+      settle(partition, pending);
+    }
+    if (partition.comparing && (partition.whole() || !place.whole())) {
+      compared(partition);
+    }
+    if (partition.whole() && !old.backups().equals(place.backups())) {
+      keepAll(partition);
+    }
+  }
+
+  private void compared(Partition partition) {
+    partition.comparing = false;
+    for (var message : List.copyOf(partition.messages.values())) {
+      if (message.doubted) {
+        message.doubted = false;
+        message.kept |= partition.whole();
+        if (message.kept) {
+          flushWaiters(message);
+        }
+        if (!message.settling) {
+          runSettleWaiters(message);
+          tellSteps(message);
         }
+        arrange(partition, message);
+      }
     }
+  }
 
-    private Optional<Message> upsert(Partition partition, Frame record) {
-        var message = partition.messages.get(record.text("i"));
-        if (message != null) {
-            if (!message.olderThan(record)) {
-                return Optional.of(message);
-            }
-            message.update(record);
-            if (record.kind().equals("m") && message.body.length == 0) {
-                message.body = record.bytes("b");
-                liveBytes += message.body.length;
-            }
-        } else if (record.kind().equals("m")) {
-            message = new Message(record);
-            partition.messages.put(message.id, message);
-            partition.lastNumber = Math.max(partition.lastNumber, message.number);
-            liveBytes += message.body.length;
-        }
-        return Optional.ofNullable(message);
+  private void meet(Partition partition, String node) {
+    var join = new Joining(node, partition.place.epoch(), clock.steadyUs());
+    partition.peers.put(node, join);
+    if (partition.place.epoch() == 1) {
+      join.spoken = true;
+      join.level = true;
+    } else {
+      askJoin(partition, join);
     }
+  }
 
-    private void forget(Partition partition) {
-        partition.messages.values().forEach(message -> {
-            liveBytes -= message.body.length;
-            leaveTarget(message);
+  private void keepAll(Partition partition) {
+    for (var message : List.copyOf(partition.messages.values())) {
+      if (message.kept) {
+        flushWaiters(message);
+      } else {
+        replicate(partition, message, message::whole, true, () -> keptNow(partition, message));
+      }
+    }
+  }
+
+  private void flushWaiters(Message message) {
+    var waiters = List.copyOf(message.keptWaiters);
+    message.keptWaiters.clear();
+    waiters.forEach(waiter -> waiter.accept(true));
+  }
+
+  private void askJoin(Partition partition, Joining join) {
+    join.asked = true;
+    join.askedUs = clock.steadyUs();
+    send(
+        join.node,
+        Frame.of("join.ask").with("line", partition.number).with("epoch", partition.place.epoch()));
+  }
+
+  private void send(String node, Frame frame) {
+    var ip = clusterLease.view().ipOf(node);
+    if (!ip.isEmpty()) {
+      wire.send(ip, frame);
+    }
+  }
+
+  private void replicate(
+      Partition partition, Message message, Supplier<Frame> record, boolean sync, Runnable then) {
+    partition.peers.values().stream()
+        .filter(join -> join.missing.contains(message))
+        .toList()
+        .forEach(join -> handOver(partition, join, message));
+    var pending = new Pending(++partition.seq, record, sync, then, clock.steadyUs());
+    partition.pending.put(pending.seq, pending);
+    message.seq = pending.seq;
+    message.epoch = partition.place.epoch();
+    pending.owing.addAll(partition.place.backups());
+    partition.peers.values().stream()
+        .filter(join -> join.spoken)
+        .forEach(join -> pending.owing.add(join.node));
+    pending.owing.forEach(node -> sendRep(partition, pending, node));
+    if (!sync) {
+      pending.local = true;
+      settle(partition, pending);
+      return;
+    }
+    journal.append(
+        record.get().pack(),
+        () -> {
+          synchronized (this) {
+            pending.local = true;
+            settle(partition, pending);
+          }
         });
-        dispatchers.values().forEach(dispatcher -> dispatcher.removeIf(message -> message.partition == partition.number));
-        partition.messages.clear();
-        partition.orders.clear();
-        partition.pending.clear();
-        partition.peers.clear();
-        partition.comparing = false;
-    }
-
-    public synchronized void tick() {
-        clusterLease.tick();
-        var nowUs = clock.steadyUs();
-        noteOwnTrouble(nowUs);
-        partitions.values().forEach(partition -> tickPartition(partition, nowUs));
-        refreshDispatchers();
-        dispatchers.values().forEach(this::pump);
-        steps.tick(message -> partition(message.partition).open && present(partition(message.partition), message) && message.waiting() && !message.after.isEmpty() && message.heldBy.isEmpty());
-        if (history.enabled()) {
-            keepHistory();
-        }
-        if (options.watch()) {
-            stragglers.report(dispatchers, clusterLease.coreUs()).ifPresent(frame -> report(frame.with("node", id)));
-        }
-        if (nowUs - purgedUs > 1_000_000) {
-            purgedUs = nowUs;
-            purge();
-            compact();
-        }
-    }
-
-    private void noteOwnTrouble(long nowUs) {
-        if (nowUs - tickedUs > STALL_US) {
-            awakeSinceUs = nowUs;
-        }
-        if (nowUs - tickedUs > STALL_US || clusterLease.ageUs() > LOST_US) {
-            inTouchSinceUs = nowUs;
-        }
-        tickedUs = nowUs;
-    }
-
-    private void tickPartition(Partition partition, long nowUs) {
-        if (partition.seen && !partition.open && partition.place.primary().equals(id)) {
-            report(Frame.of("line.reopen").with("line", partition.number).with("epoch", partition.place.epoch()).with("node", id));
-        }
-        if (!partition.orphans.isEmpty()) {
-            partition.orphans.values().removeIf(orphan -> nowUs > orphan.untilUs());
-            bringHome(partition);
-        }
-        if (!partition.open) {
-            return;
-        }
-        partition.peers.values().forEach(join -> tickJoin(partition, join, nowUs));
-        if (partition.pending.isEmpty() && partition.lowTold < partition.seq && nowUs - partition.spokeUs > LULL_US) {
-            tellLow(partition);
-        }
-        for (var pending : partition.pending.values()) {
-            if (pending.owing.isEmpty() || nowUs - pending.sentUs < RESEND_US) {
-                continue;
-            }
-            var backInTouch = pending.sentUs < inTouchSinceUs && inTouchSinceUs < nowUs;
-            var again = pending.owing.stream().filter(node -> backInTouch || nowUs - pending.sentUs > RESEND_ALIVE_US || brokenUs.getOrDefault(clusterLease.view().ipOf(node), Long.MIN_VALUE) >= pending.sentUs).toList();
-            if (!again.isEmpty()) {
-                pending.sentUs = nowUs;
-                again.forEach(node -> sendRep(partition, pending, node));
-            }
-            pending.owing.stream().filter(node -> overdue(node, pending.sinceUs, nowUs)).toList().forEach(node -> reportLost(partition, node));
-        }
-    }
-
-    private boolean overdue(String node, long sinceUs, long nowUs) {
-        var silentUs = nowUs - Math.max(Math.max(sinceUs, inTouchSinceUs), heardUs.getOrDefault(clusterLease.view().ipOf(node), Long.MIN_VALUE / 2));
-        return silentUs > LOST_US || nowUs - Math.max(sinceUs, awakeSinceUs) > OVERDUE_US;
-    }
-
-    private void tickJoin(Partition partition, Joining join, long nowUs) {
-        if (join.level && join.node.equals(partition.place.joining())) {
-            report(Frame.of("line.level").with("line", partition.number).with("epoch", partition.place.epoch()).with("node", join.node));
-        } else if (!join.spoken && nowUs - join.askedUs > RESEND_US) {
-            if (nowUs - join.askedUs > RESEND_ALIVE_US || brokenUs.getOrDefault(clusterLease.view().ipOf(join.node), Long.MIN_VALUE) >= join.askedUs) {
-                askJoin(partition, join);
-            }
-            if (nowUs - join.sinceUs > 2 * LOST_US && overdue(join.node, join.sinceUs, nowUs)) {
-                reportLost(partition, join.node);
-            }
-        }
-    }
-
-    private void report(Frame frame) {
-        wire.send(clusterLease.control(), frame);
-    }
-
-    private void reportLost(Partition partition, String node) {
-        report(Frame.of("line.lost").with("line", partition.number).with("epoch", partition.place.epoch()).with("node", node));
-    }
-
-    private synchronized void onNews() {
-        versions.take(clusterLease.rollouts(), clusterLease.coreUs());
-        for (var place : clusterLease.view().partitions()) {
-            var partition = partition(place.number());
-            if (place.version() > partition.place.version()) {
-                moved(partition, place);
-                partition.askedUnseen.ifPresent(Runnable::run);
-                partition.askedUnseen = Optional.empty();
+  }
+
+  private void sendRep(Partition partition, Pending pending, String node) {
+    send(
+        node,
+        Frame.of("rep")
+            .with("l", partition.number)
+            .with("e", partition.place.epoch())
+            .with("s", pending.seq)
+            .with("y", pending.sync)
+            .with("w", pending.seq - low(partition))
+            .with("c", pending.record.get()));
+    partition.lowTold = low(partition);
+    partition.spokeUs = clock.steadyUs();
+  }
+
+  private static long low(Partition partition) {
+    return partition.pending.isEmpty() ? partition.seq : partition.pending.firstKey() - 1;
+  }
+
+  private void tellLow(Partition partition) {
+    partition.lowTold = partition.seq;
+    var frame =
+        Frame.of("rep.low")
+            .with("line", partition.number)
+            .with("epoch", partition.place.epoch())
+            .with("low", partition.seq);
+    partition.peers.values().stream()
+        .filter(join -> join.spoken)
+        .forEach(join -> send(join.node, frame));
+  }
+
+  private void onRepLow(Frame frame) {
+    var partition = partition(frame.small("line"));
+    if (!partition.open && partition.member && frame.number("epoch") == partition.epoch) {
+      partition.low = Math.max(partition.low, frame.number("low"));
+    }
+  }
+
+  private void settle(Partition partition, Pending pending) {
+    if (pending.local && pending.owing.isEmpty() && partition.pending.remove(pending.seq) != null) {
+      pending.then.run();
+    }
+  }
+
+  @Override
+  public synchronized void onFrame(String from, Frame frame) {
+    switch (frame.kind()) {
+      case "claim.ok", "claim.no", "news" -> clusterLease.onFrame(from, frame);
+      case "rep" -> onRep(from, frame);
+      case "rep.low" -> onRepLow(frame);
+      case "ok" -> onRepOk(from, frame);
+      case "rep.no" -> onRepNo(frame);
+      case "join.ask" -> onJoinAsk(from, frame);
+      case "join.have" -> onJoinHave(frame);
+      case "join.drop" -> onJoinDrop(frame);
+      case "put" -> onPut(from, frame);
+      case "look" -> onLook(from, frame);
+      case "end" -> onEnd(from, frame);
+      case "extend" -> onExtend(from, frame);
+      case "demand" -> onDemand(from, frame);
+      case "withdraw" -> onWithdraw(from, frame);
+      case "giveback" -> onGiveBack(frame);
+      case "outcome" -> onForwarded(from, frame);
+      case "outcome.ok" -> onOutcomeOk(frame);
+      case "step.ask" -> onStepAsk(from, frame);
+      case "step.ok" ->
+          stepTold(
+              frame.text("step"),
+              StepDependencies.Ended.values()[
+                  Math.floorMod(frame.small("ended"), StepDependencies.Ended.values().length)]);
+      case "steps.read" -> onStepsRead(from, frame);
+      case "steps.order" -> onStepsOrder(from, frame);
+      case "history.keep" -> history.keep(frame);
+      case "history.ask" -> wire.send(from, history.answer(frame));
+      case "watch.ask" ->
+          wire.send(
+              from,
+              stragglers
+                  .rows(dispatchers, frame.texts("services"), clusterLease.coreUs())
+                  .with("node", id));
+      default -> {}
+    }
+  }
+
+  @Override
+  public synchronized void onDown(String ip) {
+    clusterLease.onDown(ip);
+    if (brokenUs.size() > HOSTS_MOST) {
+      brokenUs.clear();
+    }
+    brokenUs.put(ip, clock.steadyUs());
+    dispatchers
+        .values()
+        .forEach(dispatcher -> dispatcher.demands.removeIf(demand -> demand.edgeIp().equals(ip)));
+  }
+
+  @Override
+  public synchronized void onUnsent(String ip, Frame frame) {
+    brokenUs.put(ip, clock.steadyUs());
+    if (frame.kind().equals("job")) {
+      onGiveBack(frame);
+    }
+  }
+
+  private void onRep(String from, Frame frame) {
+    var partition = partition(frame.small("l"));
+    var epoch = frame.number("e");
+    var seq = frame.number("s");
+    var answer =
+        Frame.of("rep.no")
+            .with("l", partition.number)
+            .with("e", Math.max(partition.epoch, epoch))
+            .with("from", id);
+    if (epoch < partition.epoch || partition.open && epoch == partition.epoch) {
+      wire.send(from, answer.with("why", "stale"));
+      return;
+    }
+    if (epoch > partition.epoch) {
+      partition.epoch = epoch;
+      stepDown(partition);
+    }
+    if (!partition.member) {
+      wire.send(from, answer.with("why", "unjoined"));
+      return;
+    }
+    var record = frame.inner("c");
+    if (!record.has("ep")) {
+      record.with("ep", epoch);
+    }
+    partition.seq = Math.max(partition.seq, seq);
+    var message = upsert(partition, record);
+    if (message.isEmpty() && record.small("st") == Message.State.WAITING.ordinal()) {
+      wire.send(from, answer.with("why", "unjoined"));
+      return;
+    }
+    partition.low = Math.max(partition.low, seq - frame.number("w"));
+    message.ifPresent(each -> each.seq = Math.max(each.seq, seq));
+    var ok = Frame.of("ok").with("l", partition.number).with("s", seq);
+    if (frame.flag("y")) {
+      journal.append(record.pack(), () -> wire.send(from, ok));
+    } else {
+      wire.send(from, ok);
+    }
+  }
+
+  private void onRepOk(String from, Frame frame) {
+    var partition = partition(frame.small("l"));
+    var pending = partition.pending.get(frame.number("s"));
+    if (!partition.open || pending == null) {
+      return;
+    }
+    if (heardUs.size() > HOSTS_MOST) {
+      heardUs.clear();
+    }
+    heardUs.put(from, clock.steadyUs());
+    pending.owing.removeIf(node -> clusterLease.view().ipOf(node).equals(from));
+    settle(partition, pending);
+  }
+
+  private void onRepNo(Frame frame) {
+    var partition = partition(frame.small("l"));
+    if (!partition.open) {
+      return;
+    }
+    if (frame.number("e") > partition.epoch) {
+      partition.epoch = frame.number("e");
+      stepDown(partition);
+      clusterLease.renew();
+    } else if (frame.text("why").equals("unjoined")
+        && Optional.ofNullable(partition.peers.get(frame.text("from")))
+            .map(join -> join.spoken)
+            .orElse(false)) {
+      reportLost(partition, frame.text("from"));
+    }
+  }
+
+  private void onJoinAsk(String from, Frame frame) {
+    var partition = partition(frame.small("line"));
+    var epoch = frame.number("epoch");
+    if (!partition.seen) {
+      partition.askedUnseen = Optional.of(() -> onJoinAsk(from, frame));
+      return;
+    }
+    if (epoch < partition.epoch || partition.open && epoch <= partition.epoch) {
+      return;
+    }
+    partition.epoch = epoch;
+    stepDown(partition);
+    partition.member = true;
+    partition.low = 0;
+    var have = new ArrayList<Object>();
+    partition
+        .messages
+        .values()
+        .forEach(
+            message ->
+                have.add(
+                    new Frame()
+                        .with("id", message.id)
+                        .with("v", message.version())
+                        .with("seal", message.seal)
+                        .with("state", message.state.ordinal())
+                        .with("w", message.endedByWorker)
+                        .with("nb", message.body.length == 0)));
+    var answer =
+        Frame.of("join.have")
+            .with("line", partition.number)
+            .with("epoch", epoch)
+            .with("have", have)
+            .with("from", id);
+    journal.append(
+        Frame.of("j").with("line", partition.number).with("epoch", epoch).pack(),
+        () -> {
+          synchronized (this) {
+            if (partition.member && partition.epoch == epoch) {
+              wire.send(from, answer);
             }
-        }
+          }
+        });
+  }
+
+  private void onJoinHave(Frame frame) {
+    var partition = partition(frame.small("line"));
+    var waited =
+        Optional.ofNullable(partition.peers.get(frame.text("from")))
+            .filter(each -> !each.spoken && each.epoch <= frame.number("epoch"));
+    if (!partition.open || waited.isEmpty()) {
+      return;
+    }
+    var join = waited.get();
+    join.spoken = true;
+    var have = new HashMap<String, String>();
+    var extra = new ArrayList<Object>();
+    for (var each : frame.frames("have")) {
+      have.put(each.text("id"), each.text("v"));
+      if (each.flag("nb") || each.small("state") == Message.State.FINISHED.ordinal()) {
+        join.bodiless.add(each.text("id"));
+      }
+      var known = partition.messages.get(each.text("id"));
+      if (known == null) {
+        extra.add(each.text("id"));
+      } else if (known.waiting()
+          && !each.flag("w")
+          && each.small("state") == Message.State.FINISHED.ordinal()
+          && !known.settling) {
+        finish(partition, known, Message.State.FINISHED, each.text("seal"), "", () -> {});
+      }
+    }
+    send(
+        join.node,
+        Frame.of("join.drop")
+            .with("line", partition.number)
+            .with("epoch", partition.place.epoch())
+            .with("ids", extra));
+    heardUs.put(clusterLease.view().ipOf(join.node), clock.steadyUs());
+    for (var message : partition.messages.values()) {
+      var theirs = have.get(message.id);
+      if (theirs == null
+          || !theirs.equals(message.version())
+          || message.waiting() && !message.lease.isEmpty()) {
+        if (theirs != null && !theirs.equals(message.version())) {
+          message.epoch = partition.place.epoch();
+          message.rev = Math.max(message.rev, partition.epoch << 20);
+        }
+        join.missing.add(message);
+      }
+      if (theirs == null) {
+        join.absent.add(message.id);
+      }
+    }
+    join.owed = 1;
+    levelled(partition, join);
+  }
+
+  private void handOver(Partition partition, Joining join, Message message) {
+    join.missing.remove(message);
+    if (partition.messages.get(message.id) != message) {
+      return;
+    }
+    join.owed++;
+    var absent = join.absent.contains(message.id);
+    var bodiless = join.bodiless.contains(message.id);
+    Supplier<Frame> record =
+        () ->
+            absent || bodiless && message.state != Message.State.FINISHED
+                ? message.whole()
+                : message.change();
+    var pending =
+        new Pending(
+            ++partition.seq, record, true, () -> levelled(partition, join), clock.steadyUs());
+    pending.local = true;
+    pending.owing.add(join.node);
+    partition.pending.put(pending.seq, pending);
+    sendRep(partition, pending, join.node);
+  }
+
+  private void levelled(Partition partition, Joining join) {
+    join.owed--;
+    if (partition.peers.get(join.node) != join) {
+      return;
+    }
+    while (join.owed < HANDED_AT_ONCE && !join.missing.isEmpty()) {
+      handOver(partition, join, join.missing.iterator().next());
+    }
+    if (join.owed == 0) {
+      join.level = true;
+      tickJoin(partition, join, clock.steadyUs());
+      if (partition.place.backups().contains(join.node) && partition.whole()) {
+        if (partition.comparing) {
+          compared(partition);
+        }
+        keepAll(partition);
+      }
+    }
+  }
+
+  private void onJoinDrop(Frame frame) {
+    var partition = partition(frame.small("line"));
+    if (frame.number("epoch") < partition.epoch || partition.open) {
+      return;
+    }
+    frame
+        .texts("ids")
+        .forEach(
+            each ->
+                Optional.ofNullable(partition.messages.remove(each))
+                    .ifPresent(
+                        old -> {
+                          liveBytes -= old.body.length;
+                          journal.append(
+                              Frame.of("x").with("line", partition.number).with("id", each).pack(),
+                              () -> {});
+                        }));
+  }
+
+  private void onPut(String from, Frame frame) {
+    var partition = partition(frame.small("l"));
+    var rid = frame.number("rid");
+    var known = partition.messages.get(frame.text("i"));
+    if (!partition.open
+        || known != null && !known.isHandInOf(frame)
+        || known == null
+            && (!partition.whole()
+                || leaving && !partition.place.primary().equals(id)
+                || liveBytes > LIVE_BYTES_MOST
+                || liveMessages() > MESSAGES_MOST)) {
+      wire.send(from, Frame.of("put.ok").with("rid", rid).with("r", "no"));
+      return;
+    }
+    if (known != null) {
+      answerPut(partition, known, from, rid);
+      return;
+    }
+    var nowUs = clusterLease.coreUs();
+    frame
+        .with("v", partition.epoch << 20)
+        .with("n", ++partition.lastNumber)
+        .with("a", nowUs)
+        .with("d", nowUs + frame.number("delay"))
+        .with("x", nowUs + frame.number("keep"));
+    var message = new Message(frame);
+    partition.messages.put(message.id, message);
+    liveBytes += message.body.length;
+    message.nextUs = message.dueUs;
+    if (history.enabled()) {
+      history.arrived(message.tenant, serviceOf(message), message.dueUs);
+    }
+    enlist(partition, message);
+    answerPut(partition, message, from, rid);
+    replicate(partition, message, message::whole, true, () -> keptNow(partition, message));
+  }
+
+  private void answerPut(Partition partition, Message message, String from, long rid) {
+    if (message.kept && partition.whole()) {
+      wire.send(from, Frame.of("put.ok").with("rid", rid).with("r", "kept"));
+      return;
+    }
+    message.keptWaiters.add(
+        kept -> {
+          if (kept) {
+            wire.send(from, Frame.of("put.ok").with("rid", rid).with("r", "kept"));
+          }
+        });
+  }
+
+  private void keptNow(Partition partition, Message message) {
+    if (!partition.whole()) {
+      return;
+    }
+    message.kept = true;
+    flushWaiters(message);
+    arrange(partition, message);
+  }
+
+  private void onLook(String from, Frame frame) {
+    var answer = Frame.of("look.ok").with("rid", frame.number("rid"));
+    var found =
+        frame.small("line") >= 0
+            ? Optional.ofNullable(partition(frame.small("line")).messages.get(frame.text("id")))
+            : anywhere(frame.text("id"));
+    var seen =
+        found.filter(
+            message ->
+                message.tenant.equals(frame.text("tenant"))
+                    && (frame.flag("any") || message.host.equals(frame.text("host"))));
+    var sure =
+        frame.small("line") < 0
+            ? clusterLease.ageUs() < 1_000_000
+            : partition(frame.small("line")).open;
+    answer.with("sure", sure).with("found", seen.isPresent());
+    if (seen.filter(
+            message ->
+                (message.settling || message.doubted)
+                    && message.state == Message.State.FINISHED
+                    && message.body.length == 0)
+        .isPresent()) {
+      return;
+    }
+    seen.ifPresent(
+        message -> {
+          var authority = partition(message.partition).open;
+          var settled =
+              message.waiting() || !message.settling && !message.doubted && !message.untold;
+          answer
+              .with("state", settled ? message.state.ordinal() : 0)
+              .with("seal", settled ? message.seal : "")
+              .with("authority", authority);
+          if (frame.flag("any")) {
+            answer.with("step", StepDependencies.name(message));
+          }
+          if (frame.flag("body")) {
+            answer.with("body", message.body).with("type", message.contentType);
+          }
+        });
+    wire.send(from, answer);
+  }
+
+  private Optional<Message> anywhere(String wanted) {
+    Optional<Message> found = Optional.empty();
+    for (var partition : partitions.values()) {
+      var message = partition.messages.get(wanted);
+      if (message != null && (partition.open || found.isEmpty())) {
+        found = Optional.of(message);
+      }
+    }
+    return found;
+  }
+
+  private static boolean present(Partition partition, Message message) {
+    return partition.messages.get(message.id) == message;
+  }
+
+  private void arrange(Partition partition, Message message) {
+    if (!partition.open
+        || !present(partition, message)
+        || !message.waiting()
+        || message.running
+        || message.queued
+        || message.settling
+        || message.doubted) {
+      return;
+    }
+    var nowUs = clusterLease.coreUs();
+    if (!message.orderKey.isEmpty()
+        && partition.orders.get(message.orderName()).peekFirst() != message) {
+      return;
+    }
+    if (nowUs >= message.expireUs) {
+      fail(partition, message, "its KeepForS is over");
+      return;
+    }
+    if (waitsForSteps(partition, message)) {
+      return;
+    }
+    var atUs = Math.max(message.nextUs, message.dueUs);
+    if (atUs > nowUs) {
+      agenda.add(new Timed(Math.min(atUs, message.expireUs), message, ++message.stamp));
+      armAgenda();
+      return;
+    }
+    offer(partition, message);
+  }
+
+  private boolean waitsForSteps(Partition partition, Message message) {
+    if (message.after.isEmpty() && message.heldBy.isEmpty()) {
+      return false;
+    }
+    for (var step : message.after) {
+      var ended = endedHere(step);
+      if (message.heldBy.isEmpty() && ended != StepDependencies.Ended.NOT_YET) {
+        stepEnded(partition, message, step, ended);
+      }
+    }
+    if (message.heldBy.isEmpty()) {
+      steps.await(message);
+    }
+    return !message.after.isEmpty() || !message.heldBy.isEmpty();
+  }
+
+  private StepDependencies.Ended endedHere(String step) {
+    var partition =
+        StepDependencies.partitionOf(step)
+            .map(partitions::get)
+            .filter(each -> each != null && each.open);
+    return partition.isEmpty()
+        ? StepDependencies.Ended.NOT_YET
+        : ended(partition.get().messages.get(StepDependencies.idOf(step)));
+  }
+
+  private static StepDependencies.Ended ended(Message message) {
+    if (message == null) {
+      return StepDependencies.Ended.FORGOTTEN;
+    }
+    if (message.waiting() || message.settling || message.doubted) {
+      return StepDependencies.Ended.NOT_YET;
+    }
+    return message.state == Message.State.FINISHED
+        ? StepDependencies.Ended.WELL
+        : StepDependencies.Ended.FAILED;
+  }
+
+  private void stepEnded(
+      Partition partition, Message message, String step, StepDependencies.Ended ended) {
+    message.rev++;
+    if (ended == StepDependencies.Ended.WELL) {
+      message.after = message.after.stream().filter(each -> !each.equals(step)).toList();
+      message.freedUs = clusterLease.coreUs();
+      replicate(partition, message, message::change, true, () -> {});
+      return;
+    }
+    message.heldBy = step;
+    LOG.log(
+        System.Logger.Level.WARNING,
+        "code="
+            + ResultCode.STEP_HOLDS.number()
+            + " "
+            + StepDependencies.name(message)
+            + " is held: step "
+            + step
+            + (ended == StepDependencies.Ended.FAILED ? " failed" : " is not known any more"));
+    replicate(partition, message, message::change, true, () -> {});
+  }
+
+  private void askStep(String step) {
+    StepDependencies.partitionOf(step)
+        .flatMap(number -> clusterLease.partition(number))
+        .ifPresent(place -> send(place.primary(), Frame.of("step.ask").with("step", step)));
+  }
+
+  private void onStepAsk(String from, Frame frame) {
+    var step = frame.text("step");
+    var partition =
+        StepDependencies.partitionOf(step)
+            .map(partitions::get)
+            .filter(each -> each != null && each.open);
+    if (partition.isEmpty()) {
+      return;
+    }
+    var ended = ended(partition.get().messages.get(StepDependencies.idOf(step)));
+    if (ended == StepDependencies.Ended.NOT_YET) {
+      steps.subscribe(step, from);
+    } else {
+      wire.send(from, Frame.of("step.ok").with("step", step).with("ended", ended.ordinal()));
+    }
+  }
+
+  private void stepTold(String step, StepDependencies.Ended ended) {
+    if (ended == StepDependencies.Ended.NOT_YET) {
+      return;
+    }
+    for (var message : steps.take(step)) {
+      var partition = partition(message.partition);
+      if (partition.open
+          && present(partition, message)
+          && message.waiting()
+          && message.after.contains(step)
+          && message.heldBy.isEmpty()) {
+        stepEnded(partition, message, step, ended);
+        arrange(partition, message);
+      }
+    }
+  }
+
+  private void tellSteps(Message message) {
+    if (steps.none()) {
+      return;
+    }
+    var step = StepDependencies.name(message);
+    var ended = ended(message);
+    if (ended == StepDependencies.Ended.NOT_YET || !steps.relied(step)) {
+      return;
+    }
+    steps
+        .unsubscribeAll(step)
+        .forEach(
+            ip ->
+                wire.send(
+                    ip, Frame.of("step.ok").with("step", step).with("ended", ended.ordinal())));
+    stepTold(step, ended);
+  }
+
+  private void onStepsRead(String from, Frame frame) {
+    var rows = new ArrayList<Frame>();
+    if (frame.flag("failed")) {
+      failedSteps(rows);
+    }
+    for (var asked : frame.texts("steps")) {
+      partitions.values().stream()
+          .filter(partition -> partition.open)
+          .forEach(
+              partition -> {
+                var id =
+                    StepDependencies.partitionOf(asked)
+                            .filter(number -> number == partition.number)
+                            .isPresent()
+                        ? StepDependencies.idOf(asked)
+                        : asked;
+                Optional.ofNullable(partition.messages.get(id))
+                    .ifPresent(
+                        message -> {
+                          rows.add(stepRow(partition, message, "", ""));
+                          followers(partition, message)
+                              .forEach(
+                                  later ->
+                                      rows.add(
+                                          stepRow(
+                                              partition,
+                                              later,
+                                              StepDependencies.name(message),
+                                              "order")));
+                        });
+                partition.messages.values().stream()
+                    .filter(
+                        later ->
+                            later.waiting()
+                                && (later.after.contains(asked) || later.heldBy.equals(asked)))
+                    .forEach(later -> rows.add(stepRow(partition, later, asked, "named")));
+              });
+    }
+    var rest = Math.max(0, rows.size() - STEP_ROWS_MOST);
+    wire.send(
+        from,
+        Frame.of("steps.rows")
+            .with("rid", frame.number("rid"))
+            .with("rows", List.<Object>copyOf(rows.subList(0, rows.size() - rest)))
+            .with("rest", rest));
+  }
+
+  private List<Message> followers(Partition partition, Message message) {
+    var order = message.orderKey.isEmpty() ? null : partition.orders.get(message.orderName());
+    return order == null
+        ? List.of()
+        : order.stream().dropWhile(each -> each != message).skip(1).toList();
+  }
+
+  private void failedSteps(List<Frame> rows) {
+    for (var partition : partitions.values()) {
+      if (!partition.open) {
+        continue;
+      }
+      for (var message : partition.messages.values()) {
+        if (message.waiting()
+            && !message.lastOutcome.isEmpty()
+            && (steps.relied(StepDependencies.name(message))
+                || !followers(partition, message).isEmpty())) {
+          rows.add(stepRow(partition, message, "", ""));
+        } else if (message.waiting() && !message.heldBy.isEmpty()) {
+          rows.add(stepRow(partition, message, message.heldBy, "named"));
+        } else if (message.waiting()) {
+          message.after.forEach(step -> rows.add(stepRow(partition, message, step, "waits")));
+        }
+      }
+    }
+  }
+
+  private Frame stepRow(Partition partition, Message message, String of, String how) {
+    var nowUs = clusterLease.coreUs();
+    return new Frame()
+        .with("k", StepDependencies.name(message))
+        .with("t", message.tenant)
+        .with("s", serviceOf(message))
+        .with("st", message.state.ordinal())
+        .with("w", message.ranAt)
+        .with(
+            "o",
+            message.state == Message.State.FINISHED
+                ? "ran"
+                : message.running
+                    ? "runs now"
+                    : message.lastOutcome.isEmpty()
+                        ? message.attempt == 0 ? "not run yet" : "may have run"
+                        : message.lastOutcome)
+        .with("at", List.<Object>copyOf(message.attempts))
+        .with("n", Math.max(0, Math.max(message.nextUs, message.dueUs) - nowUs))
+        .with("aim", Math.max(0, message.dueUs + message.aimUs - nowUs))
+        .with("of", of)
+        .with("how", how)
+        .with("h", hold(partition, message, nowUs))
+        .with("f", followers(partition, message).size());
+  }
+
+  private String hold(Partition partition, Message message, long nowUs) {
+    if (!message.waiting()) {
+      return "";
+    }
+    if (!message.heldBy.isEmpty()) {
+      return "held until an operator decides: step " + message.heldBy + " failed or is forgotten";
+    }
+    if (!message.after.isEmpty()) {
+      return "waits for step " + String.join(", ", message.after);
+    }
+    var order = message.orderKey.isEmpty() ? null : partition.orders.get(message.orderName());
+    if (order != null && order.peekFirst() != message) {
+      return "waits for "
+          + StepDependencies.name(order.peekFirst())
+          + ", which is before it in its order";
+    }
+    if (message.running) {
+      return "runs at "
+          + (message.ranAt.isEmpty() ? "a worker" : message.ranAt)
+          + "; another runs it only if this one fails or stays silent";
+    }
+    if (message.dueUs > nowUs) {
+      return "its delay is not over";
+    }
+    return message.nextUs > nowUs
+        ? "waits before its next attempt, by whichever machine is free then"
+        : "waits for a free machine";
+  }
+
+  private void onStepsOrder(String from, Frame frame) {
+    var step = frame.text("step");
+    var answer = Frame.of("steps.done").with("rid", frame.number("rid"));
+    var partition =
+        StepDependencies.partitionOf(step)
+            .map(partitions::get)
+            .filter(each -> each != null && each.open);
+    var message = partition.map(each -> each.messages.get(StepDependencies.idOf(step)));
+    if (message.isEmpty() || !message.get().waiting()) {
+      wire.send(from, answer.with("r", partition.isPresent() ? "none" : "elsewhere"));
+    } else if (message.get().after.isEmpty() && message.get().heldBy.isEmpty()) {
+      wire.send(from, answer.with("r", "free"));
+    } else if (frame.flag("drop")) {
+      finish(
+          partition.get(),
+          message.get(),
+          Message.State.FAILED,
+          "",
+          "",
+          () -> wire.send(from, answer.with("r", "done")));
+    } else {
+      release(partition.get(), message.get(), () -> wire.send(from, answer.with("r", "done")));
+    }
+  }
+
+  private void release(Partition partition, Message message, Runnable then) {
+    message.after = List.of();
+    message.heldBy = "";
+    message.freedUs = clusterLease.coreUs();
+    message.rev++;
+    replicate(
+        partition,
+        message,
+        message::change,
+        true,
+        () -> {
+          then.run();
+          arrange(partition, message);
+        });
+  }
+
+  private void armAgenda() {
+    var first = agenda.peek();
+    if (first == null || first.atUs() >= agendaAtUs) {
+      return;
+    }
+    agendaAtUs = first.atUs();
+    clock.after(Math.max(500, first.atUs() - clusterLease.coreUs()), this::runAgenda);
+  }
+
+  private synchronized void runAgenda() {
+    agendaAtUs = Long.MAX_VALUE;
+    var nowUs = clusterLease.coreUs();
+    while (!agenda.isEmpty() && agenda.peek().atUs() <= nowUs) {
+      var timed = agenda.poll();
+      if (timed.stamp() == timed.message().stamp) {
+        arrange(partition(timed.message().partition), timed.message());
+      }
+    }
+    armAgenda();
+  }
+
+  private void offer(Partition partition, Message message) {
+    var path = clusterLease.configuration().path(message.host, message.target);
+    if (path.isEmpty()) {
+      if (clusterLease.configuration().revision() > 0) {
+        fail(partition, message, "its path was dropped");
+      }
+      return;
+    }
+    message.aimUs = path.get().startAimUs();
+    var dispatcher = dispatchers.computeIfAbsent(path.get().service(), Dispatcher::new);
+    dispatcher.offer(message, path.get().rank(), clusterLease.coreUs());
+    pump(dispatcher);
+  }
+
+  private boolean mayStart() {
+    return clusterLease.ageUs() < LEG_FRESH_US;
+  }
+
+  private void refreshDispatchers() {
+    var storageNodes = Math.max(1, clusterLease.view().members("storage").size());
+    for (var dispatcher : dispatchers.values()) {
+      var service = clusterLease.configuration().service(dispatcher.service);
+      if (service.isEmpty() || service.get().pull()) {
+        continue;
+      }
+      if (service.get().endpoint().isEmpty()) {
+        dispatcher.targetsOf(clusterLease.roster(), 1.0 / storageNodes);
+      } else if (!dispatcher.targets.containsKey(service.get().endpoint())) {
+        dispatcher.targets.clear();
+        var processor =
+            new ClusterView.Processor(
+                "", dispatcher.service, service.get().endpoint(), "", 8, false, 0, "");
+        dispatcher.targets.put(
+            service.get().endpoint(),
+            new Dispatcher.Target(service.get().endpoint(), processor, 8));
+      }
+    }
+  }
+
+  private void pump(Dispatcher dispatcher) {
+    if (dispatcher.empty() || !mayStart()) {
+      return;
+    }
+    var service = clusterLease.configuration().service(dispatcher.service);
+    if (service.isEmpty()) {
+      return;
+    }
+    var rollout = versions.of(dispatcher.service);
+    if (rollout.isPresent()) {
+      refreshDispatchers();
+      pumpShifted(dispatcher, service.get(), rollout.get());
+    } else if (service.get().pull()) {
+      pumpPull(dispatcher);
+    } else {
+      if (dispatcher.targets.isEmpty()) {
         refreshDispatchers();
-        dispatchers.values().forEach(this::pump);
-    }
-
-    private void moved(Partition partition, ClusterView.Partition place) {
-        var first = !partition.seen;
-        var old = partition.place;
-        partition.place = place;
-        partition.seen = true;
-        if (place.epoch() < partition.epoch) {
-            return;
-        }
-        partition.epoch = place.epoch();
-        var mine = place.primary().equals(id);
-        if (!mine) {
-            stepDown(partition);
-            bringHome(partition);
-        }
-        if (!place.has(id)) {
-            partition.member = false;
-            if (place.whole() && !partition.messages.isEmpty()) {
-                forget(partition);
-                journal.append(Frame.of("f").with("line", partition.number).pack(), () -> { });
-            }
-            return;
-        }
-        var newborn = place.epoch() == 1 && fresh;
-        partition.member |= newborn;
-        if (!mine) {
-            return;
-        }
-        if (!partition.open && (!first || newborn)) {
-            open(partition);
-        }
-        if (partition.open) {
-            reconcile(partition, old);
-        }
-    }
-
-    private void stepDown(Partition partition) {
-        if (!partition.open) {
-            return;
-        }
-        partition.open = false;
-        partition.comparing = false;
-        partition.low = low(partition);
-        partition.pending.clear();
-        partition.peers.clear();
-        partition.orders.clear();
-        partition.messages.values().forEach(message -> {
-            if (message.settling && message.endedLease.equals(message.lease) && !message.lease.isEmpty()) {
-                var result = message.state == Message.State.FINISHED ? DeliveryClient.Result.DONE : message.waiting() ? DeliveryClient.Result.FAILED : DeliveryClient.Result.REFUSED;
-                orphan(partition, message, message.lease, result, message.seal);
+      }
+      pumpPush(dispatcher, service.get());
+    }
+  }
+
+  private int tries(Message message) {
+    return clusterLease
+        .configuration()
+        .path(message.host, message.target)
+        .map(Configuration.Path::tries)
+        .orElse(Integer.MAX_VALUE);
+  }
+
+  private void pumpShifted(Dispatcher dispatcher, Configuration.Service service, Rollout rollout) {
+    var aside = new ArrayList<Message>();
+    var nowUs = clusterLease.coreUs();
+    dispatcher
+        .targets
+        .values()
+        .forEach(target -> versions.sees(dispatcher.service, target.processor.version(), nowUs));
+    dispatcher.demands.removeIf(demand -> demand.expiresUs() <= clock.steadyUs());
+    while (!dispatcher.empty()
+        && aside.size() < ASIDE_MOST
+        && (service.pull()
+            ? !dispatcher.demands.isEmpty()
+            : hasToken(dispatcher, service, nowUs))) {
+      var picked = pick(dispatcher);
+      if (picked.isEmpty()) {
+        break;
+      }
+      var started =
+          service.pull()
+              ? handOutShifted(dispatcher, rollout, picked.get(), nowUs)
+              : pushShifted(dispatcher, service, rollout, picked.get(), nowUs);
+      if (!started) {
+        aside.add(picked.get());
+      }
+    }
+    dispatcher.putBack(aside);
+    if (service.pull() && !dispatcher.empty()) {
+      askDemand(dispatcher);
+    }
+  }
+
+  private boolean handOutShifted(
+      Dispatcher dispatcher, Rollout rollout, Message message, long nowUs) {
+    Dispatcher.Demand best = null;
+    var bestOrder = RolloutRouter.NEVER;
+    for (var demand : dispatcher.demands) {
+      var order = versions.order(rollout, message, tries(message), demand.version(), nowUs);
+      if (order < bestOrder) {
+        best = demand;
+        bestOrder = order;
+      }
+    }
+    if (best == null) {
+      return false;
+    }
+    var chosen = best;
+    dispatcher.demands.remove(chosen);
+    handOutTo(dispatcher, message, chosen);
+    return true;
+  }
+
+  private boolean pushShifted(
+      Dispatcher dispatcher,
+      Configuration.Service service,
+      Rollout rollout,
+      Message message,
+      long nowUs) {
+    for (var order = 0; order < RolloutRouter.NEVER; order++) {
+      var wanted = order;
+      var target =
+          choose(
+              dispatcher,
+              nowUs,
+              each ->
+                  versions.order(rollout, message, tries(message), each.processor.version(), nowUs)
+                      == wanted);
+      if (target.isPresent()) {
+        pushTo(dispatcher, service, target.get(), message);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void runs(Message message, String service, String version) {
+    message.ranVersion = version;
+    message.spentOnNew |=
+        versions
+            .of(service)
+            .map(rollout -> !version.isEmpty() && rollout.next().equals(version))
+            .orElse(false);
+  }
+
+  private void judged(Message message, boolean bad) {
+    clusterLease
+        .configuration()
+        .path(message.host, message.target)
+        .ifPresent(
+            path -> {
+              if (versions.outcome(path.service(), message.ranVersion, bad)) {
+                LOG.log(
+                    System.Logger.Level.WARNING,
+                    "code="
+                        + ResultCode.SHIFT_MOVES.number()
+                        + " "
+                        + path.service()
+                        + ": errors of the new version passed the tolerance here; no more work for it");
+                clusterLease.renew();
+              }
+            });
+  }
+
+  private void handOutTo(Dispatcher dispatcher, Message message, Dispatcher.Demand demand) {
+    runs(message, dispatcher.service, demand.version());
+    message.ranAt = demand.worker().isEmpty() ? "a worker at " + demand.edgeIp() : demand.worker();
+    grant(
+        message,
+        options.visibleUs(),
+        (partition, granted) -> handOut(partition, granted, demand, dispatcher.service));
+  }
+
+  private void pumpPull(Dispatcher dispatcher) {
+    var nowUs = clock.steadyUs();
+    while (!dispatcher.empty()) {
+      var demand = dispatcher.demands.pollFirst();
+      if (demand == null) {
+        askDemand(dispatcher);
+        return;
+      }
+      if (demand.expiresUs() > nowUs) {
+        var picked = pick(dispatcher);
+        if (picked.isEmpty()) {
+          dispatcher.demands.addFirst(demand);
+          return;
+        }
+        handOutTo(dispatcher, picked.get(), demand);
+      }
+    }
+  }
+
+  private void askDemand(Dispatcher dispatcher) {
+    if (!dispatcher.asked) {
+      dispatcher.asked = true;
+      askedEdges()
+          .forEach(
+              edge ->
+                  wire.send(
+                      edge.ip(),
+                      Frame.of("hungry")
+                          .with("service", dispatcher.service)
+                          .with("n", dispatcher.waiting)));
+      clock.after(
+          20_000,
+          () -> {
+            synchronized (this) {
+              dispatcher.asked = false;
+              pump(dispatcher);
             }
-            message.stamp++;
+          });
+    }
+  }
+
+  private List<ClusterView.Member> askedEdges() {
+    var all = clusterLease.view().members("edge");
+    if (all.size() <= ASKED_MOST) {
+      return all;
+    }
+    var from = asks++ * ASKED_MOST % all.size();
+    var asked = new ArrayList<ClusterView.Member>();
+    for (var step = 0; step < ASKED_MOST; step++) {
+      asked.add(all.get((from + step) % all.size()));
+    }
+    return asked;
+  }
+
+  private Optional<Message> pick(Dispatcher dispatcher) {
+    while (!dispatcher.empty()) {
+      var next = dispatcher.next(clusterLease.coreUs());
+      if (next.isEmpty()) {
+        return next;
+      }
+      var message = next.get();
+      if (clusterLease.coreUs() < message.expireUs
+          && clusterLease
+              .configuration()
+              .path(message.host, message.target)
+              .map(path -> path.service().equals(dispatcher.service))
+              .orElse(false)) {
+        return next;
+      }
+      arrange(partition(message.partition), message);
+    }
+    return Optional.empty();
+  }
+
+  private interface Start {
+    void start(Partition partition, Message message);
+  }
+
+  private void grant(Message message, long runUs, Start start) {
+    var partition = partition(message.partition);
+    message.running = true;
+    message.attempt++;
+    message.rev++;
+    message.lease = partition.number + "." + partition.place.epoch() + "." + message.attempt;
+    message.untilUs = clusterLease.coreUs() + runUs;
+    var lease = message.lease;
+    replicate(
+        partition,
+        message,
+        message::change,
+        false,
+        () -> {
+          if (partition.open && present(partition, message) && message.lease.equals(lease)) {
+            message.onLeave = () -> {};
+            start.start(partition, message);
+          } else {
             leaveTarget(message);
-            message.settling = false;
-            message.doubted = false;
-            message.settleWaiters.clear();
-            var waiters = List.copyOf(message.keptWaiters);
-            message.keptWaiters.clear();
-            waiters.forEach(waiter -> waiter.accept(false));
+          }
         });
-        dispatchers.values().forEach(dispatcher -> dispatcher.removeIf(message -> message.partition == partition.number));
-    }
-
-    private void open(Partition partition) {
-        partition.open = true;
-        partition.openedEpoch = partition.epoch;
-        var wasMember = partition.member;
-        partition.member = true;
-        var nowUs = clusterLease.coreUs();
-        var ordered = new ArrayList<>(partition.messages.values());
-        ordered.sort((a, b) -> Long.compare(a.number, b.number));
-        var unsure = new HashSet<>(ordered.stream().filter(message -> wasMember && message.seq > partition.low).toList());
-        partition.comparing = !wasMember && partition.place.whole() && !partition.place.backups().isEmpty();
-        partition.seq = Math.max(partition.seq, partition.epoch << 32);
-        for (var message : ordered) {
-            message.kept = !unsure.contains(message) && !partition.comparing;
-            message.settling = unsure.contains(message);
-            message.rev = message.settling ? Math.max(message.rev, partition.epoch << 20) : message.rev;
-            message.doubted = partition.comparing;
-            if (message.waiting()) {
-                enlist(partition, message);
-                var maybeRunning = !message.lease.isEmpty() && !message.lease.equals(message.endedLease);
-                if (maybeRunning || !wasMember) {
-                    message.nextUs = Math.max(message.nextUs, nowUs + attemptTimeUs(message));
-                }
-                message.running = false;
+  }
+
+  private static void leaveTarget(Message message) {
+    message.onLeave.run();
+    message.onLeave = () -> {};
+  }
+
+  private void handOut(
+      Partition partition, Message message, Dispatcher.Demand demand, String service) {
+    if (options.watch()) {
+      stragglers.begins(
+          service,
+          demand.worker(),
+          message.host + message.target,
+          message.lease,
+          clusterLease.coreUs());
+    }
+    startCounted(message, service);
+    wire.send(
+        demand.edgeIp(),
+        Frame.of("job")
+            .with("token", demand.token())
+            .with("line", partition.number)
+            .with("id", message.id)
+            .with("lease", message.lease)
+            .with("method", message.method)
+            .with("target", message.target)
+            .with("tenant", message.tenant)
+            .with("type", message.contentType)
+            .with("okey", message.orderKey)
+            .with("body", message.body));
+    message.untilUs = clusterLease.coreUs() + options.visibleUs();
+    watchLease(partition, message, message.lease);
+  }
+
+  private void watchLease(Partition partition, Message message, String lease) {
+    clock.after(
+        Math.max(1000, message.untilUs + 60_000 - clusterLease.coreUs()),
+        () -> {
+          synchronized (this) {
+            if (!partition.open
+                || !present(partition, message)
+                || !message.running
+                || !message.lease.equals(lease)
+                || !message.waiting()
+                || message.settling) {
+              return;
             }
-        }
-        for (var message : ordered) {
-            if (message.waiting()) {
-                arrange(partition, message);
+            if (clusterLease.coreUs() < message.untilUs + 50_000) {
+              watchLease(partition, message, lease);
+              return;
             }
-        }
-        ordered.stream().filter(unsure::contains).forEach(message -> replicate(partition, message, message::whole, true, () -> {
-            message.kept |= partition.whole();
-            message.settling = false;
-            keptNow(partition, message);
-            runSettleWaiters(message);
+            attemptCounted(message);
+            message.notes("silent; may have run");
+            message.running = false;
+            message.nextUs = 0;
+            stragglers.ends(lease, false, clusterLease.coreUs());
+            judged(message, true);
             arrange(partition, message);
-        }));
-        dispatchers.values().forEach(dispatcher -> {
-            dispatcher.tokens = 0;
-            dispatcher.tokensAtUs = nowUs;
+          }
         });
-    }
-
-    private long attemptTimeUs(Message message) {
-        var path = clusterLease.configuration().path(message.host, message.target);
-        var pulled = path.flatMap(p -> clusterLease.configuration().service(p.service())).map(Configuration.Service::pull).orElse(true);
-        return pulled ? options.visibleUs() + 50_000 : path.get().giveUpUs() + LEG_SLACK_US;
-    }
-
-    private void enlist(Partition partition, Message message) {
-        if (!message.orderKey.isEmpty()) {
-            partition.orders.computeIfAbsent(message.orderName(), name -> new ArrayDeque<>()).addLast(message);
-        }
-    }
-
-    private void reconcile(Partition partition, ClusterView.Partition old) {
-        var place = partition.place;
-        if (place.epoch() > old.epoch() + 1) {
-            partition.peers.clear();
-        }
-        if (place.whole() != old.whole()) {
-            LOG.log(System.Logger.Level.DEBUG, "partition " + partition.number + " epoch " + place.epoch() + (place.whole() ? " is whole" : " has too few copies"));
-        }
-        var members = new ArrayList<>(place.backups());
-        if (!place.joining().isEmpty()) {
-            members.add(place.joining());
-        }
-        partition.peers.keySet().retainAll(members);
-        if (!place.joining().equals(old.joining()) && old.has(place.joining())) {
-            partition.peers.remove(place.joining());
-        }
-        members.stream().filter(node -> !partition.peers.containsKey(node)).forEach(node -> meet(partition, node));
-        for (var pending : List.copyOf(partition.pending.values())) {
-            pending.owing.retainAll(members);
-            pending.sentUs = clock.steadyUs();
-            pending.owing.forEach(node -> sendRep(partition, pending, node));
-            settle(partition, pending);
-        }
-        if (partition.comparing && (partition.whole() || !place.whole())) {
-            compared(partition);
-        }
-        if (partition.whole() && !old.backups().equals(place.backups())) {
-            keepAll(partition);
-        }
-    }
-
-    private void compared(Partition partition) {
-        partition.comparing = false;
-        for (var message : List.copyOf(partition.messages.values())) {
-            if (message.doubted) {
-                message.doubted = false;
-                message.kept |= partition.whole();
-                if (message.kept) {
-                    flushWaiters(message);
-                }
-                if (!message.settling) {
-                    runSettleWaiters(message);
-                    tellSteps(message);
-                }
-                arrange(partition, message);
-            }
-        }
-    }
-
-    private void meet(Partition partition, String node) {
-        var join = new Joining(node, partition.place.epoch(), clock.steadyUs());
-        partition.peers.put(node, join);
-        if (partition.place.epoch() == 1) {
-            join.spoken = true;
-            join.level = true;
-        } else {
-            askJoin(partition, join);
-        }
-    }
-
-    private void keepAll(Partition partition) {
-        for (var message : List.copyOf(partition.messages.values())) {
-            if (message.kept) {
-                flushWaiters(message);
-            } else {
-                replicate(partition, message, message::whole, true, () -> keptNow(partition, message));
-            }
-        }
-    }
-
-    private void flushWaiters(Message message) {
-        var waiters = List.copyOf(message.keptWaiters);
-        message.keptWaiters.clear();
-        waiters.forEach(waiter -> waiter.accept(true));
-    }
-
-    private void askJoin(Partition partition, Joining join) {
-        join.asked = true;
-        join.askedUs = clock.steadyUs();
-        send(join.node, Frame.of("join.ask").with("line", partition.number).with("epoch", partition.place.epoch()));
-    }
-
-    private void send(String node, Frame frame) {
-        var ip = clusterLease.view().ipOf(node);
-        if (!ip.isEmpty()) {
-            wire.send(ip, frame);
-        }
-    }
-
-    private void replicate(Partition partition, Message message, Supplier<Frame> record, boolean sync, Runnable then) {
-        partition.peers.values().stream().filter(join -> join.missing.contains(message)).toList().forEach(join -> handOver(partition, join, message));
-        var pending = new Pending(++partition.seq, record, sync, then, clock.steadyUs());
-        partition.pending.put(pending.seq, pending);
-        message.seq = pending.seq;
-        message.epoch = partition.place.epoch();
-        pending.owing.addAll(partition.place.backups());
-        partition.peers.values().stream().filter(join -> join.spoken).forEach(join -> pending.owing.add(join.node));
-        pending.owing.forEach(node -> sendRep(partition, pending, node));
-        if (!sync) {
-            pending.local = true;
-            settle(partition, pending);
-            return;
-        }
-        journal.append(record.get().pack(), () -> {
+  }
+
+  private void onGiveBack(Frame frame) {
+    var partition = partition(frame.small("line"));
+    var message = partition.messages.get(frame.text("id"));
+    if (partition.open
+        && message != null
+        && message.running
+        && message.lease.equals(frame.text("lease"))
+        && message.waiting()
+        && !message.settling) {
+      stragglers.ends(message.lease, false, clusterLease.coreUs());
+      message.notes("given back; did not run");
+      unrun(partition, message, 0);
+    }
+  }
+
+  private void unrun(Partition partition, Message message, long waitUs) {
+    message.running = false;
+    message.endedLease = message.lease;
+    message.rev++;
+    message.nextUs = clusterLease.coreUs() + waitUs;
+    replicate(partition, message, message::change, false, () -> {});
+    arrange(partition, message);
+  }
+
+  private void pumpPush(Dispatcher dispatcher, Configuration.Service service) {
+    var nowUs = clusterLease.coreUs();
+    while (!dispatcher.empty()) {
+      if (!hasToken(dispatcher, service, nowUs)) {
+        return;
+      }
+      var target = choose(dispatcher, nowUs, each -> true);
+      if (target.isEmpty()) {
+        return;
+      }
+      var picked = pick(dispatcher);
+      if (picked.isEmpty()) {
+        return;
+      }
+      pushTo(dispatcher, service, target.get(), picked.get());
+    }
+  }
+
+  private void pushTo(
+      Dispatcher dispatcher,
+      Configuration.Service service,
+      Dispatcher.Target target,
+      Message picked) {
+    dispatcher.tokens -= 1;
+    var path = clusterLease.configuration().path(picked.host, picked.target).get();
+    target.running++;
+    attemptsRunning++;
+    picked.onLeave =
+        () -> {
+          target.running--;
+          attemptsRunning--;
+        };
+    runs(picked, dispatcher.service, target.processor.version());
+    picked.ranAt = target.processor.id().isEmpty() ? target.address : target.processor.id();
+    grant(
+        picked,
+        path.giveUpUs() + LEG_SLACK_US,
+        (partition, message) -> push(dispatcher, service, target, partition, message, path));
+  }
+
+  private boolean hasToken(Dispatcher dispatcher, Configuration.Service service, long nowUs) {
+    if (service.perS() <= 0) {
+      return true;
+    }
+    var rate = service.perS() * 0.985;
+    dispatcher.tokens =
+        Math.min(3, dispatcher.tokens + Math.max(0, nowUs - dispatcher.tokensAtUs) * rate / 1e6);
+    dispatcher.tokensAtUs = nowUs;
+    if (dispatcher.tokens >= 1) {
+      return true;
+    }
+    if (!dispatcher.asked) {
+      dispatcher.asked = true;
+      clock.after(
+          (long) ((1 - dispatcher.tokens) / rate * 1e6) + 500,
+          () -> {
             synchronized (this) {
-                pending.local = true;
-                settle(partition, pending);
+              dispatcher.asked = false;
+              pump(dispatcher);
+            }
+          });
+    }
+    return false;
+  }
+
+  private Optional<Dispatcher.Target> choose(
+      Dispatcher dispatcher, long nowUs, Predicate<Dispatcher.Target> fits) {
+    Dispatcher.Target best = null;
+    for (var target : dispatcher.targets.values()) {
+      var probing = target.restUs > 0;
+      if (!fits.test(target)
+          || target.restUntilUs > nowUs
+          || target.running >= (probing ? 1 : Math.max(1, (int) target.most))) {
+        continue;
+      }
+      if (best == null || target.weight() < best.weight()) {
+        best = target;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private void push(
+      Dispatcher dispatcher,
+      Configuration.Service service,
+      Dispatcher.Target target,
+      Partition partition,
+      Message message,
+      Configuration.Path path) {
+    var storageNodes = Math.max(1, clusterLease.view().members("storage").size());
+    var connections =
+        service.endpoint().isEmpty()
+            ? Math.max(1, service.maxConns() / storageNodes)
+            : Math.max(1, service.maxConns() / 2);
+    var lease = message.lease;
+    var attempt =
+        new DeliveryClient.Attempt(
+            target.address,
+            message.host,
+            message.target,
+            target.processor.id(),
+            message.id,
+            message.tenant,
+            message.orderKey,
+            message.method,
+            message.contentType,
+            message.body,
+            path.giveUpUs(),
+            connections);
+    if (options.watch()) {
+      stragglers.begins(
+          dispatcher.service, target.processor.id(), path.name(), lease, clusterLease.coreUs());
+    }
+    startCounted(message, dispatcher.service);
+    deliveryClient.deliver(
+        attempt,
+        outcome -> {
+          synchronized (this) {
+            attemptCounted(message);
+            target.running--;
+            attemptsRunning--;
+            judge(target, outcome);
+            stragglers.ends(
+                lease, outcome.result() == DeliveryClient.Result.DONE, clusterLease.coreUs());
+            switch (outcome.result()) {
+              case DONE -> judged(message, false);
+              case FAILED, REFUSED, UNKNOWN -> judged(message, true);
+              default -> {}
             }
+            conclude(partition, message, lease, outcome, service.dropsRepeats());
+            pump(dispatcher);
+          }
         });
-    }
-
-    private void sendRep(Partition partition, Pending pending, String node) {
-        send(node, Frame.of("rep").with("l", partition.number).with("e", partition.place.epoch()).with("s", pending.seq).with("y", pending.sync).with("w", pending.seq - low(partition)).with("c", pending.record.get()));
-        partition.lowTold = low(partition);
-        partition.spokeUs = clock.steadyUs();
-    }
-
-    private static long low(Partition partition) {
-        return partition.pending.isEmpty() ? partition.seq : partition.pending.firstKey() - 1;
-    }
-
-    private void tellLow(Partition partition) {
-        partition.lowTold = partition.seq;
-        var frame = Frame.of("rep.low").with("line", partition.number).with("epoch", partition.place.epoch()).with("low", partition.seq);
-        partition.peers.values().stream().filter(join -> join.spoken).forEach(join -> send(join.node, frame));
-    }
-
-    private void onRepLow(Frame frame) {
-        var partition = partition(frame.small("line"));
-        if (!partition.open && partition.member && frame.number("epoch") == partition.epoch) {
-            partition.low = Math.max(partition.low, frame.number("low"));
-        }
-    }
-
-    private void settle(Partition partition, Pending pending) {
-        if (pending.local && pending.owing.isEmpty() && partition.pending.remove(pending.seq) != null) {
-            pending.then.run();
-        }
-    }
-
-    @Override
-    public synchronized void onFrame(String from, Frame frame) {
-        switch (frame.kind()) {
-            case "claim.ok", "claim.no", "news" -> clusterLease.onFrame(from, frame);
-            case "rep" -> onRep(from, frame);
-            case "rep.low" -> onRepLow(frame);
-            case "ok" -> onRepOk(from, frame);
-            case "rep.no" -> onRepNo(frame);
-            case "join.ask" -> onJoinAsk(from, frame);
-            case "join.have" -> onJoinHave(frame);
-            case "join.drop" -> onJoinDrop(frame);
-            case "put" -> onPut(from, frame);
-            case "look" -> onLook(from, frame);
-            case "end" -> onEnd(from, frame);
-            case "extend" -> onExtend(from, frame);
-            case "demand" -> onDemand(from, frame);
-            case "withdraw" -> onWithdraw(from, frame);
-            case "giveback" -> onGiveBack(frame);
-            case "outcome" -> onForwarded(from, frame);
-            case "outcome.ok" -> onOutcomeOk(frame);
-            case "step.ask" -> onStepAsk(from, frame);
-            case "step.ok" -> stepTold(frame.text("step"), StepDependencies.Ended.values()[Math.floorMod(frame.small("ended"), StepDependencies.Ended.values().length)]);
-            case "steps.read" -> onStepsRead(from, frame);
-            case "steps.order" -> onStepsOrder(from, frame);
-            case "history.keep" -> history.keep(frame);
-            case "history.ask" -> wire.send(from, history.answer(frame));
-            case "watch.ask" -> wire.send(from, stragglers.rows(dispatchers, frame.texts("services"), clusterLease.coreUs()).with("node", id));
-            default -> { }
-        }
-    }
-
-    @Override
-    public synchronized void onDown(String ip) {
-        clusterLease.onDown(ip);
-        if (brokenUs.size() > HOSTS_MOST) {
-            brokenUs.clear();
-        }
-        brokenUs.put(ip, clock.steadyUs());
-        dispatchers.values().forEach(dispatcher -> dispatcher.demands.removeIf(demand -> demand.edgeIp().equals(ip)));
-    }
-
-    @Override
-    public synchronized void onUnsent(String ip, Frame frame) {
-        brokenUs.put(ip, clock.steadyUs());
-        if (frame.kind().equals("job")) {
-            onGiveBack(frame);
-        }
-    }
-
-    private void onRep(String from, Frame frame) {
-        var partition = partition(frame.small("l"));
-        var epoch = frame.number("e");
-        var seq = frame.number("s");
-        var answer = Frame.of("rep.no").with("l", partition.number).with("e", Math.max(partition.epoch, epoch)).with("from", id);
-        if (epoch < partition.epoch || partition.open && epoch == partition.epoch) {
-            wire.send(from, answer.with("why", "stale"));
-            return;
-        }
-        if (epoch > partition.epoch) {
-            partition.epoch = epoch;
-            stepDown(partition);
-        }
-        if (!partition.member) {
-            wire.send(from, answer.with("why", "unjoined"));
-            return;
-        }
-        var record = frame.inner("c");
-        if (!record.has("ep")) {
-            record.with("ep", epoch);
-        }
-        partition.seq = Math.max(partition.seq, seq);
-        var message = upsert(partition, record);
-        if (message.isEmpty() && record.small("st") == Message.State.WAITING.ordinal()) {
-            wire.send(from, answer.with("why", "unjoined"));
-            return;
-        }
-        partition.low = Math.max(partition.low, seq - frame.number("w"));
-        message.ifPresent(each -> each.seq = Math.max(each.seq, seq));
-        var ok = Frame.of("ok").with("l", partition.number).with("s", seq);
-        if (frame.flag("y")) {
-            journal.append(record.pack(), () -> wire.send(from, ok));
+  }
+
+  private void judge(Dispatcher.Target target, DeliveryClient.Outcome outcome) {
+    var nowUs = clusterLease.coreUs();
+    var ceiling =
+        target.processor.id().isEmpty()
+            ? 10
+            : Math.ceil(
+                    (double) target.processor.capacity()
+                        / Math.max(1, clusterLease.view().members("storage").size()))
+                + 1;
+    var parts = outcome.load().split(",");
+    if (parts.length == 3) {
+      try {
+        target.load = Integer.parseInt(parts[0].trim()) + Integer.parseInt(parts[1].trim());
+        target.slots = Integer.parseInt(parts[2].trim());
+      } catch (NumberFormatException e) {
+        target.load = 0;
+      }
+    }
+    switch (outcome.result()) {
+      case DONE, FAILED, REFUSED -> target.well(ceiling);
+      case NOT_RUN -> target.unwell(nowUs, 0.7);
+      case WRONG -> {
+        target.unwell(nowUs, 1);
+        deliveryClient.forget(target.address);
+      }
+      case UNKNOWN -> target.unwell(nowUs, 0.6);
+    }
+  }
+
+  private void conclude(
+      Partition partition,
+      Message told,
+      String lease,
+      DeliveryClient.Outcome outcome,
+      boolean safeAgain) {
+    if (!partition.open) {
+      orphan(partition, told, lease, outcome.result(), outcome.seal());
+      return;
+    }
+    var message = partition.messages.getOrDefault(told.id, told);
+    if (!message.lease.equals(lease) || !message.waiting() || message.endedLease.equals(lease)) {
+      return;
+    }
+    if (message.settling) {
+      orphan(partition, message, lease, outcome.result(), outcome.seal());
+      return;
+    }
+    if (message.queued) {
+      dispatchers.values().forEach(dispatcher -> dispatcher.removeIf(each -> each == message));
+    }
+    if (outcome.result() != DeliveryClient.Result.DONE) {
+      message.notes(
+          switch (outcome.result()) {
+            case FAILED -> "ran and failed";
+            case REFUSED -> "refused for good";
+            case UNKNOWN -> "no whole answer; may have run";
+            default -> "did not run";
+          });
+    }
+    switch (outcome.result()) {
+      case DONE ->
+          finish(partition, message, Message.State.FINISHED, outcome.seal(), lease, () -> {});
+      case REFUSED -> finish(partition, message, Message.State.FAILED, "", lease, () -> {});
+      case FAILED -> failed(partition, message, lease, () -> {});
+      case NOT_RUN, WRONG -> unrun(partition, message, bounceUs(message));
+      case UNKNOWN ->
+          unrun(partition, message, safeAgain ? bounceUs(message) : bounceUs(message) + 20_000);
+    }
+  }
+
+  private void orphan(
+      Partition partition,
+      Message message,
+      String lease,
+      DeliveryClient.Result result,
+      String seal) {
+    if (partition.orphans.size() < ORPHANS_MOST) {
+      var outcome =
+          Frame.of("outcome")
+              .with("line", partition.number)
+              .with("id", message.id)
+              .with("lease", lease)
+              .with("result", result.ordinal())
+              .with("seal", seal);
+      partition.orphans.put(message.id, new Orphan(outcome, clock.steadyUs() + ORPHAN_US));
+      bringHome(partition);
+    }
+  }
+
+  private void bringHome(Partition partition) {
+    partition.orphans.values().forEach(orphan -> send(partition.place.primary(), orphan.outcome()));
+  }
+
+  private long bounceUs(Message message) {
+    message.bounces++;
+    return (long)
+        (Math.min(400_000, 10_000L << Math.min(6, message.bounces)) * (0.5 + random.nextDouble()));
+  }
+
+  private void onForwarded(String from, Frame frame) {
+    var partition = partition(frame.small("line"));
+    if (!partition.open) {
+      return;
+    }
+    var message = partition.messages.get(frame.text("id"));
+    if (message != null && message.doubted) {
+      return;
+    }
+    if (message == null
+        || !message.waiting()
+        || !message.lease.equals(frame.text("lease"))
+        || message.endedLease.equals(message.lease)) {
+      if (message == null || !message.settling) {
+        wire.send(
+            from,
+            Frame.of("outcome.ok").with("line", partition.number).with("id", frame.text("id")));
+      }
+      return;
+    }
+    if (message.settling) {
+      return;
+    }
+    if (message.queued) {
+      dispatchers.values().forEach(dispatcher -> dispatcher.removeIf(each -> each == message));
+    }
+    message.running = true;
+    message.stamp++;
+    conclude(
+        partition,
+        message,
+        message.lease,
+        new DeliveryClient.Outcome(
+            DeliveryClient.Result.values()[frame.small("result")], frame.text("seal"), ""),
+        true);
+  }
+
+  private void onOutcomeOk(Frame frame) {
+    partition(frame.small("line")).orphans.remove(frame.text("id"));
+  }
+
+  private void failed(Partition partition, Message message, String lease, Runnable then) {
+    var tries =
+        clusterLease
+            .configuration()
+            .path(message.host, message.target)
+            .map(Configuration.Path::tries)
+            .orElse(Integer.MAX_VALUE);
+    message.fails++;
+    message.rev++;
+    if (message.fails >= tries) {
+      finish(partition, message, Message.State.FAILED, "", lease, then);
+      return;
+    }
+    message.endedLease = lease;
+    message.settling = true;
+    var fromNew = message.spentOnNew && message.fails == 1;
+    replicate(
+        partition,
+        message,
+        message::change,
+        true,
+        () -> {
+          message.nextUs =
+              fromNew
+                  ? 0
+                  : clusterLease.coreUs()
+                      + (long)
+                          (Math.min(1_000_000, 20_000L << Math.min(6, message.fails))
+                              * (0.5 + random.nextDouble()));
+          settled(message, then);
+          arrange(partition, message);
+        });
+  }
+
+  private void finish(
+      Partition partition,
+      Message message,
+      Message.State state,
+      String seal,
+      String lease,
+      Runnable then) {
+    message.rev++;
+    if (history.enabled()) {
+      history.ended(message.tenant, serviceOf(message), state == Message.State.FINISHED);
+    }
+    message.state = state;
+    message.seal = seal;
+    message.endedLease = lease;
+    message.endedUs = clusterLease.coreUs();
+    message.settling = true;
+    message.stamp++;
+    replicate(
+        partition,
+        message,
+        message::change,
+        true,
+        () -> {
+          settled(message, then);
+          nextInOrder(partition, message);
+        });
+  }
+
+  private void fail(Partition partition, Message message, String why) {
+    LOG.log(System.Logger.Level.INFO, "message " + message.id + " ends unserved: " + why);
+    finish(partition, message, Message.State.FAILED, "", "", () -> {});
+  }
+
+  private void settled(Message message, Runnable then) {
+    message.settling = false;
+    message.running = false;
+    if (message.state == Message.State.FINISHED) {
+      shed(message);
+    }
+    then.run();
+    runSettleWaiters(message);
+    tellSteps(message);
+  }
+
+  private static void runSettleWaiters(Message message) {
+    var waiters = List.copyOf(message.settleWaiters);
+    message.settleWaiters.clear();
+    waiters.forEach(Runnable::run);
+  }
+
+  private void shed(Message message) {
+    liveBytes -= message.body.length;
+    message.body = new byte[0];
+  }
+
+  private void nextInOrder(Partition partition, Message message) {
+    if (message.orderKey.isEmpty()) {
+      return;
+    }
+    var order = partition.orders.get(message.orderName());
+    if (order == null) {
+      return;
+    }
+    order.remove(message);
+    if (order.isEmpty()) {
+      partition.orders.remove(message.orderName());
+    } else {
+      arrange(partition, order.peekFirst());
+    }
+  }
+
+  private void onEnd(String from, Frame frame) {
+    var partition = partition(frame.small("line"));
+    var answer = Frame.of("end.ok").with("rid", frame.number("rid"));
+    var message = partition.messages.get(frame.text("id"));
+    if (!partition.open
+        || Message.epochOf(frame.text("lease")) > partition.epoch
+        || message != null && message.doubted && !message.endedLease.equals(frame.text("lease"))) {
+      wire.send(from, answer.with("r", 503));
+      return;
+    }
+    var lease = frame.text("lease");
+    recognise(partition, message, lease);
+    if (message == null || lease.isEmpty() || !message.lease.equals(lease)) {
+      wire.send(from, answer.with("r", 409));
+      return;
+    }
+    if ((message.settling || message.doubted) && message.endedLease.equals(lease)) {
+      message.settleWaiters.add(() -> wire.send(from, answer.with("r", 200)));
+      return;
+    }
+    if (message.endedLease.equals(lease)) {
+      confirm(partition, message);
+      wire.send(from, answer.with("r", 200));
+      return;
+    }
+    if (!message.waiting()) {
+      wire.send(from, answer.with("r", 409));
+      return;
+    }
+    if (message.queued) {
+      dispatchers.values().forEach(dispatcher -> dispatcher.removeIf(each -> each == message));
+    }
+    message.running = true;
+    message.stamp++;
+    endTaken(partition, message, lease, frame, () -> wire.send(from, answer.with("r", 200)));
+  }
+
+  private void confirm(Partition partition, Message message) {
+    if (message.untold) {
+      message.untold = false;
+      message.rev++;
+      replicate(partition, message, message::change, false, () -> {});
+    }
+  }
+
+  private void recognise(Partition partition, Message message, String lease) {
+    if (message != null
+        && message.waiting()
+        && !message.settling
+        && message.yieldsTo(lease, partition.openedEpoch)) {
+      message.takeOver(lease);
+    }
+  }
+
+  private void endTaken(
+      Partition partition, Message message, String lease, Frame frame, Runnable then) {
+    var result = frame.small("result");
+    attemptCounted(message);
+    stragglers.ends(lease, result / 100 == 2, clusterLease.coreUs());
+    if (result != 503 && result != 429 && result != 400) {
+      judged(message, result / 100 != 2 || frame.text("seal").isEmpty());
+    }
+    message.endedByWorker = result < 400 || result == 422 || result == 500;
+    if (result >= 300 || frame.text("seal").isEmpty()) {
+      message.notes(
+          result == 503 || result == 429 || result == 400
+              ? "did not run"
+              : result == 422 ? "refused for good" : "ran and failed");
+    }
+    if (result >= 200 && result < 300 && !frame.text("seal").isEmpty()) {
+      finish(partition, message, Message.State.FINISHED, frame.text("seal"), lease, then);
+    } else if (result == 422) {
+      finish(partition, message, Message.State.FAILED, "", lease, then);
+    } else if (result == 503 || result == 429 || result == 400) {
+      unrun(partition, message, bounceUs(message));
+      then.run();
+    } else {
+      failed(partition, message, lease, then);
+    }
+  }
+
+  private void onExtend(String from, Frame frame) {
+    var partition = partition(frame.small("line"));
+    var answer = Frame.of("end.ok").with("rid", frame.number("rid"));
+    var message = partition.messages.get(frame.text("id"));
+    if (!partition.open
+        || Message.epochOf(frame.text("lease")) > partition.epoch
+        || message != null && message.doubted) {
+      wire.send(from, answer.with("r", 503));
+      return;
+    }
+    recognise(partition, message, frame.text("lease"));
+    var held =
+        message != null
+            && message.waiting()
+            && message.lease.equals(frame.text("lease"))
+            && !message.endedLease.equals(message.lease)
+            && !message.queued;
+    if (held) {
+      message.untilUs = clusterLease.coreUs() + options.visibleUs();
+      if (!message.running) {
+        message.running = true;
+        message.stamp++;
+        watchLease(partition, message, message.lease);
+      }
+    }
+    wire.send(from, answer.with("r", held ? 200 : 409));
+  }
+
+  private void onDemand(String from, Frame frame) {
+    var dispatcher = dispatchers.computeIfAbsent(frame.text("service"), Dispatcher::new);
+    var nowUs = clock.steadyUs();
+    for (var each : frame.frames("tokens")) {
+      if (dispatcher.demands.size() < DEMANDS_MOST) {
+        versions.sees(dispatcher.service, each.text("r"), clusterLease.coreUs());
+        var demand =
+            new Dispatcher.Demand(
+                from,
+                each.number("t"),
+                nowUs + each.number("w") - 20_000,
+                frame.text("zone").equals(options.zone()),
+                each.text("s"),
+                each.text("r"));
+        if (demand.near()) {
+          dispatcher.demands.addFirst(demand);
         } else {
-            wire.send(from, ok);
-        }
-    }
-
-    private void onRepOk(String from, Frame frame) {
-        var partition = partition(frame.small("l"));
-        var pending = partition.pending.get(frame.number("s"));
-        if (!partition.open || pending == null) {
-            return;
-        }
-        if (heardUs.size() > HOSTS_MOST) {
-            heardUs.clear();
-        }
-        heardUs.put(from, clock.steadyUs());
-        pending.owing.removeIf(node -> clusterLease.view().ipOf(node).equals(from));
-        settle(partition, pending);
-    }
-
-    private void onRepNo(Frame frame) {
-        var partition = partition(frame.small("l"));
-        if (!partition.open) {
-            return;
-        }
-        if (frame.number("e") > partition.epoch) {
-            partition.epoch = frame.number("e");
-            stepDown(partition);
-            clusterLease.renew();
-        } else if (frame.text("why").equals("unjoined") && Optional.ofNullable(partition.peers.get(frame.text("from"))).map(join -> join.spoken).orElse(false)) {
-            reportLost(partition, frame.text("from"));
-        }
-    }
-
-    private void onJoinAsk(String from, Frame frame) {
-        var partition = partition(frame.small("line"));
-        var epoch = frame.number("epoch");
-        if (!partition.seen) {
-            partition.askedUnseen = Optional.of(() -> onJoinAsk(from, frame));
-            return;
-        }
-        if (epoch < partition.epoch || partition.open && epoch <= partition.epoch) {
-            return;
-        }
-        partition.epoch = epoch;
-        stepDown(partition);
-        partition.member = true;
-        partition.low = 0;
-        var have = new ArrayList<Object>();
-        partition.messages.values().forEach(message -> have.add(new Frame().with("id", message.id).with("v", message.version())
-            .with("seal", message.seal).with("state", message.state.ordinal()).with("w", message.endedByWorker).with("nb", message.body.length == 0)));
-        var answer = Frame.of("join.have").with("line", partition.number).with("epoch", epoch).with("have", have).with("from", id);
-        journal.append(Frame.of("j").with("line", partition.number).with("epoch", epoch).pack(), () -> {
-            synchronized (this) {
-                if (partition.member && partition.epoch == epoch) {
-                    wire.send(from, answer);
+          dispatcher.demands.addLast(demand);
+        }
+      }
+    }
+    pump(dispatcher);
+  }
+
+  private void onWithdraw(String from, Frame frame) {
+    var dispatcher = dispatchers.computeIfAbsent(frame.text("service"), Dispatcher::new);
+    var gone = new HashSet<Long>();
+    frame.frames("tokens").forEach(each -> gone.add(each.number("t")));
+    dispatcher.demands.removeIf(
+        demand -> demand.edgeIp().equals(from) && gone.contains(demand.token()));
+  }
+
+  private void purge() {
+    var oldUs = clusterLease.coreUs() - options.statusUs() - 10_000_000;
+    var nowUs = clusterLease.coreUs();
+    for (var partition : partitions.values()) {
+      partition.messages.values().stream()
+          .filter(
+              message ->
+                  message.state == Message.State.FINISHED
+                      && !message.settling
+                      && !message.doubted
+                      && !message.untold
+                      && message.body.length > 0
+                      && (partition.open || message.seq <= partition.low))
+          .forEach(this::shed);
+      partition
+          .messages
+          .values()
+          .removeIf(
+              message -> {
+                var old = !message.waiting() && message.endedUs < oldUs && !message.settling;
+                if (old) {
+                  liveBytes -= message.body.length;
                 }
-            }
+                return old;
+              });
+      if (partition.open) {
+        List.copyOf(partition.messages.values()).stream()
+            .filter(
+                message ->
+                    message.waiting()
+                        && !message.running
+                        && !message.queued
+                        && nowUs >= message.expireUs)
+            .forEach(message -> arrange(partition, message));
+      }
+    }
+  }
+
+  private void compact() {
+    if (rewriting || journal.bytesLong() < Math.max(LONG_JOURNAL, 2 * rewrittenBytes)) {
+      return;
+    }
+    rewriting = true;
+    var records = new ArrayList<byte[]>();
+    records.add(Frame.of("disk").with("id", diskId).pack());
+    partitions
+        .values()
+        .forEach(
+            partition ->
+                partition
+                    .messages
+                    .values()
+                    .forEach(message -> records.add(message.whole().pack())));
+    rewrittenBytes = records.stream().mapToLong(record -> record.length).sum();
+    journal.rewrite(
+        records,
+        () -> {
+          synchronized (this) {
+            rewriting = false;
+          }
         });
-    }
-
-    private void onJoinHave(Frame frame) {
-        var partition = partition(frame.small("line"));
-        var waited = Optional.ofNullable(partition.peers.get(frame.text("from"))).filter(each -> !each.spoken && each.epoch <= frame.number("epoch"));
-        if (!partition.open || waited.isEmpty()) {
-            return;
-        }
-        var join = waited.get();
-        join.spoken = true;
-        var have = new HashMap<String, String>();
-        var extra = new ArrayList<Object>();
-        for (var each : frame.frames("have")) {
-            have.put(each.text("id"), each.text("v"));
-            if (each.flag("nb") || each.small("state") == Message.State.FINISHED.ordinal()) {
-                join.bodiless.add(each.text("id"));
-            }
-            var known = partition.messages.get(each.text("id"));
-            if (known == null) {
-                extra.add(each.text("id"));
-            } else if (known.waiting() && !each.flag("w") && each.small("state") == Message.State.FINISHED.ordinal() && !known.settling) {
-                finish(partition, known, Message.State.FINISHED, each.text("seal"), "", () -> { });
-            }
-        }
-        send(join.node, Frame.of("join.drop").with("line", partition.number).with("epoch", partition.place.epoch()).with("ids", extra));
-        heardUs.put(clusterLease.view().ipOf(join.node), clock.steadyUs());
-        for (var message : partition.messages.values()) {
-            var theirs = have.get(message.id);
-            if (theirs == null || !theirs.equals(message.version()) || message.waiting() && !message.lease.isEmpty()) {
-                if (theirs != null && !theirs.equals(message.version())) {
-                    message.epoch = partition.place.epoch();
-                    message.rev = Math.max(message.rev, partition.epoch << 20);
-                }
-                join.missing.add(message);
-            }
-            if (theirs == null) {
-                join.absent.add(message.id);
-            }
-        }
-        join.owed = 1;
-        levelled(partition, join);
-    }
-
-    private void handOver(Partition partition, Joining join, Message message) {
-        join.missing.remove(message);
-        if (partition.messages.get(message.id) != message) {
-            return;
-        }
-        join.owed++;
-        var absent = join.absent.contains(message.id);
-        var bodiless = join.bodiless.contains(message.id);
-        Supplier<Frame> record = () -> absent || bodiless && message.state != Message.State.FINISHED ? message.whole() : message.change();
-        var pending = new Pending(++partition.seq, record, true, () -> levelled(partition, join), clock.steadyUs());
-        pending.local = true;
-        pending.owing.add(join.node);
-        partition.pending.put(pending.seq, pending);
-        sendRep(partition, pending, join.node);
-    }
-
-    private void levelled(Partition partition, Joining join) {
-        join.owed--;
-        if (partition.peers.get(join.node) != join) {
-            return;
-        }
-        while (join.owed < HANDED_AT_ONCE && !join.missing.isEmpty()) {
-            handOver(partition, join, join.missing.iterator().next());
-        }
-        if (join.owed == 0) {
-            join.level = true;
-            tickJoin(partition, join, clock.steadyUs());
-            if (partition.place.backups().contains(join.node) && partition.whole()) {
-                if (partition.comparing) {
-                    compared(partition);
-                }
-                keepAll(partition);
-            }
-        }
-    }
-
-    private void onJoinDrop(Frame frame) {
-        var partition = partition(frame.small("line"));
-        if (frame.number("epoch") < partition.epoch || partition.open) {
-            return;
-        }
-        frame.texts("ids").forEach(each -> Optional.ofNullable(partition.messages.remove(each)).ifPresent(old -> {
-            liveBytes -= old.body.length;
-            journal.append(Frame.of("x").with("line", partition.number).with("id", each).pack(), () -> { });
-        }));
-    }
-
-    private void onPut(String from, Frame frame) {
-        var partition = partition(frame.small("l"));
-        var rid = frame.number("rid");
-        var known = partition.messages.get(frame.text("i"));
-        if (!partition.open || known != null && !known.isHandInOf(frame) || known == null && (!partition.whole() || leaving && !partition.place.primary().equals(id) || liveBytes > LIVE_BYTES_MOST || liveMessages() > MESSAGES_MOST)) {
-            wire.send(from, Frame.of("put.ok").with("rid", rid).with("r", "no"));
-            return;
-        }
-        if (known != null) {
-            answerPut(partition, known, from, rid);
-            return;
-        }
-        var nowUs = clusterLease.coreUs();
-        frame.with("v", partition.epoch << 20).with("n", ++partition.lastNumber).with("a", nowUs).with("d", nowUs + frame.number("delay")).with("x", nowUs + frame.number("keep"));
-        var message = new Message(frame);
-        partition.messages.put(message.id, message);
-        liveBytes += message.body.length;
-        message.nextUs = message.dueUs;
-        if (history.enabled()) {
-            history.arrived(message.tenant, serviceOf(message), message.dueUs);
-        }
-        enlist(partition, message);
-        answerPut(partition, message, from, rid);
-        replicate(partition, message, message::whole, true, () -> keptNow(partition, message));
-    }
-
-    private void answerPut(Partition partition, Message message, String from, long rid) {
-        if (message.kept && partition.whole()) {
-            wire.send(from, Frame.of("put.ok").with("rid", rid).with("r", "kept"));
-            return;
-        }
-        message.keptWaiters.add(kept -> {
-            if (kept) {
-                wire.send(from, Frame.of("put.ok").with("rid", rid).with("r", "kept"));
-            }
-        });
-    }
-
-    private void keptNow(Partition partition, Message message) {
-        if (!partition.whole()) {
-            return;
-        }
-        message.kept = true;
-        flushWaiters(message);
-        arrange(partition, message);
-    }
-
-    private void onLook(String from, Frame frame) {
-        var answer = Frame.of("look.ok").with("rid", frame.number("rid"));
-        var found = frame.small("line") >= 0 ? Optional.ofNullable(partition(frame.small("line")).messages.get(frame.text("id"))) : anywhere(frame.text("id"));
-        var seen = found.filter(message -> message.tenant.equals(frame.text("tenant")) && (frame.flag("any") || message.host.equals(frame.text("host"))));
-        var sure = frame.small("line") < 0 ? clusterLease.ageUs() < 1_000_000 : partition(frame.small("line")).open;
-        answer.with("sure", sure).with("found", seen.isPresent());
-        if (seen.filter(message -> (message.settling || message.doubted) && message.state == Message.State.FINISHED && message.body.length == 0).isPresent()) {
-            return;
-        }
-        seen.ifPresent(message -> {
-            var authority = partition(message.partition).open;
-            var settled = message.waiting() || !message.settling && !message.doubted && !message.untold;
-            answer.with("state", settled ? message.state.ordinal() : 0).with("seal", settled ? message.seal : "").with("authority", authority);
-            if (frame.flag("any")) {
-                answer.with("step", StepDependencies.name(message));
-            }
-            if (frame.flag("body")) {
-                answer.with("body", message.body).with("type", message.contentType);
-            }
-        });
-        wire.send(from, answer);
-    }
-
-    private Optional<Message> anywhere(String wanted) {
-        Optional<Message> found = Optional.empty();
-        for (var partition : partitions.values()) {
-            var message = partition.messages.get(wanted);
-            if (message != null && (partition.open || found.isEmpty())) {
-                found = Optional.of(message);
-            }
-        }
-        return found;
-    }
-
-    private static boolean present(Partition partition, Message message) {
-        return partition.messages.get(message.id) == message;
-    }
-
-    private void arrange(Partition partition, Message message) {
-        if (!partition.open || !present(partition, message) || !message.waiting() || message.running || message.queued || message.settling || message.doubted) {
-            return;
-        }
-        var nowUs = clusterLease.coreUs();
-        if (!message.orderKey.isEmpty() && partition.orders.get(message.orderName()).peekFirst() != message) {
-            return;
-        }
-        if (nowUs >= message.expireUs) {
-            fail(partition, message, "its KeepForS is over");
-            return;
-        }
-        if (waitsForSteps(partition, message)) {
-            return;
-        }
-        var atUs = Math.max(message.nextUs, message.dueUs);
-        if (atUs > nowUs) {
-            agenda.add(new Timed(Math.min(atUs, message.expireUs), message, ++message.stamp));
-            armAgenda();
-            return;
-        }
-        offer(partition, message);
-    }
-
-    private boolean waitsForSteps(Partition partition, Message message) {
-        if (message.after.isEmpty() && message.heldBy.isEmpty()) {
-            return false;
-        }
-        for (var step : message.after) {
-            var ended = endedHere(step);
-            if (message.heldBy.isEmpty() && ended != StepDependencies.Ended.NOT_YET) {
-                stepEnded(partition, message, step, ended);
-            }
-        }
-        if (message.heldBy.isEmpty()) {
-            steps.await(message);
-        }
-        return !message.after.isEmpty() || !message.heldBy.isEmpty();
-    }
-
-    private StepDependencies.Ended endedHere(String step) {
-        var partition = StepDependencies.partitionOf(step).map(partitions::get).filter(each -> each != null && each.open);
-        return partition.isEmpty() ? StepDependencies.Ended.NOT_YET : ended(partition.get().messages.get(StepDependencies.idOf(step)));
-    }
-
-    private static StepDependencies.Ended ended(Message message) {
-        if (message == null) {
-            return StepDependencies.Ended.FORGOTTEN;
-        }
-        if (message.waiting() || message.settling || message.doubted) {
-            return StepDependencies.Ended.NOT_YET;
-        }
-        return message.state == Message.State.FINISHED ? StepDependencies.Ended.WELL : StepDependencies.Ended.FAILED;
-    }
-
-    private void stepEnded(Partition partition, Message message, String step, StepDependencies.Ended ended) {
-        message.rev++;
-        if (ended == StepDependencies.Ended.WELL) {
-            message.after = message.after.stream().filter(each -> !each.equals(step)).toList();
-            message.freedUs = clusterLease.coreUs();
-            replicate(partition, message, message::change, true, () -> { });
-            return;
-        }
-        message.heldBy = step;
-        LOG.log(System.Logger.Level.WARNING, "code=" + ResultCode.STEP_HOLDS.number() + " " + StepDependencies.name(message) + " is held: step " + step + (ended == StepDependencies.Ended.FAILED ? " failed" : " is not known any more"));
-        replicate(partition, message, message::change, true, () -> { });
-    }
-
-    private void askStep(String step) {
-        StepDependencies.partitionOf(step).flatMap(number -> clusterLease.partition(number)).ifPresent(place -> send(place.primary(), Frame.of("step.ask").with("step", step)));
-    }
-
-    private void onStepAsk(String from, Frame frame) {
-        var step = frame.text("step");
-        var partition = StepDependencies.partitionOf(step).map(partitions::get).filter(each -> each != null && each.open);
-        if (partition.isEmpty()) {
-            return;
-        }
-        var ended = ended(partition.get().messages.get(StepDependencies.idOf(step)));
-        if (ended == StepDependencies.Ended.NOT_YET) {
-            steps.subscribe(step, from);
-        } else {
-            wire.send(from, Frame.of("step.ok").with("step", step).with("ended", ended.ordinal()));
-        }
-    }
-
-    private void stepTold(String step, StepDependencies.Ended ended) {
-        if (ended == StepDependencies.Ended.NOT_YET) {
-            return;
-        }
-        for (var message : steps.take(step)) {
-            var partition = partition(message.partition);
-            if (partition.open && present(partition, message) && message.waiting() && message.after.contains(step) && message.heldBy.isEmpty()) {
-                stepEnded(partition, message, step, ended);
-                arrange(partition, message);
-            }
-        }
-    }
-
-    private void tellSteps(Message message) {
-        if (steps.none()) {
-            return;
-        }
-        var step = StepDependencies.name(message);
-        var ended = ended(message);
-        if (ended == StepDependencies.Ended.NOT_YET || !steps.relied(step)) {
-            return;
-        }
-        steps.unsubscribeAll(step).forEach(ip -> wire.send(ip, Frame.of("step.ok").with("step", step).with("ended", ended.ordinal())));
-        stepTold(step, ended);
-    }
-
-    private void onStepsRead(String from, Frame frame) {
-        var rows = new ArrayList<Frame>();
-        if (frame.flag("failed")) {
-            failedSteps(rows);
-        }
-        for (var asked : frame.texts("steps")) {
-            partitions.values().stream().filter(partition -> partition.open).forEach(partition -> {
-                var id = StepDependencies.partitionOf(asked).filter(number -> number == partition.number).isPresent() ? StepDependencies.idOf(asked) : asked;
-                Optional.ofNullable(partition.messages.get(id)).ifPresent(message -> {
-                    rows.add(stepRow(partition, message, "", ""));
-                    followers(partition, message).forEach(later -> rows.add(stepRow(partition, later, StepDependencies.name(message), "order")));
-                });
-                partition.messages.values().stream().filter(later -> later.waiting() && (later.after.contains(asked) || later.heldBy.equals(asked))).forEach(later -> rows.add(stepRow(partition, later, asked, "named")));
-            });
-        }
-        var rest = Math.max(0, rows.size() - STEP_ROWS_MOST);
-        wire.send(from, Frame.of("steps.rows").with("rid", frame.number("rid")).with("rows", List.<Object>copyOf(rows.subList(0, rows.size() - rest))).with("rest", rest));
-    }
-
-    private List<Message> followers(Partition partition, Message message) {
-        var order = message.orderKey.isEmpty() ? null : partition.orders.get(message.orderName());
-        return order == null ? List.of() : order.stream().dropWhile(each -> each != message).skip(1).toList();
-    }
-
-    private void failedSteps(List<Frame> rows) {
-        for (var partition : partitions.values()) {
-            if (!partition.open) {
-                continue;
-            }
-            for (var message : partition.messages.values()) {
-                if (message.waiting() && !message.lastOutcome.isEmpty() && (steps.relied(StepDependencies.name(message)) || !followers(partition, message).isEmpty())) {
-                    rows.add(stepRow(partition, message, "", ""));
-                } else if (message.waiting() && !message.heldBy.isEmpty()) {
-                    rows.add(stepRow(partition, message, message.heldBy, "named"));
-                } else if (message.waiting()) {
-                    message.after.forEach(step -> rows.add(stepRow(partition, message, step, "waits")));
-                }
-            }
-        }
-    }
-
-    private Frame stepRow(Partition partition, Message message, String of, String how) {
-        var nowUs = clusterLease.coreUs();
-        return new Frame().with("k", StepDependencies.name(message)).with("t", message.tenant).with("s", serviceOf(message)).with("st", message.state.ordinal()).with("w", message.ranAt)
-            .with("o", message.state == Message.State.FINISHED ? "ran" : message.running ? "runs now" : message.lastOutcome.isEmpty() ? message.attempt == 0 ? "not run yet" : "may have run" : message.lastOutcome)
-            .with("at", List.<Object>copyOf(message.attempts)).with("n", Math.max(0, Math.max(message.nextUs, message.dueUs) - nowUs)).with("aim", Math.max(0, message.dueUs + message.aimUs - nowUs)).with("of", of).with("how", how).with("h", hold(partition, message, nowUs)).with("f", followers(partition, message).size());
-    }
-
-    private String hold(Partition partition, Message message, long nowUs) {
-        if (!message.waiting()) {
-            return "";
-        }
-        if (!message.heldBy.isEmpty()) {
-            return "held until an operator decides: step " + message.heldBy + " failed or is forgotten";
-        }
-        if (!message.after.isEmpty()) {
-            return "waits for step " + String.join(", ", message.after);
-        }
-        var order = message.orderKey.isEmpty() ? null : partition.orders.get(message.orderName());
-        if (order != null && order.peekFirst() != message) {
-            return "waits for " + StepDependencies.name(order.peekFirst()) + ", which is before it in its order";
-        }
-        if (message.running) {
-            return "runs at " + (message.ranAt.isEmpty() ? "a worker" : message.ranAt) + "; another runs it only if this one fails or stays silent";
-        }
-        if (message.dueUs > nowUs) {
-            return "its delay is not over";
-        }
-        return message.nextUs > nowUs ? "waits before its next attempt, by whichever machine is free then" : "waits for a free machine";
-    }
-
-    private void onStepsOrder(String from, Frame frame) {
-        var step = frame.text("step");
-        var answer = Frame.of("steps.done").with("rid", frame.number("rid"));
-        var partition = StepDependencies.partitionOf(step).map(partitions::get).filter(each -> each != null && each.open);
-        var message = partition.map(each -> each.messages.get(StepDependencies.idOf(step)));
-        if (message.isEmpty() || !message.get().waiting()) {
-            wire.send(from, answer.with("r", partition.isPresent() ? "none" : "elsewhere"));
-        } else if (message.get().after.isEmpty() && message.get().heldBy.isEmpty()) {
-            wire.send(from, answer.with("r", "free"));
-        } else if (frame.flag("drop")) {
-            finish(partition.get(), message.get(), Message.State.FAILED, "", "", () -> wire.send(from, answer.with("r", "done")));
-        } else {
-            release(partition.get(), message.get(), () -> wire.send(from, answer.with("r", "done")));
-        }
-    }
-
-    private void release(Partition partition, Message message, Runnable then) {
-        message.after = List.of();
-        message.heldBy = "";
-        message.freedUs = clusterLease.coreUs();
-        message.rev++;
-        replicate(partition, message, message::change, true, () -> {
-            then.run();
-            arrange(partition, message);
-        });
-    }
-
-    private void armAgenda() {
-        var first = agenda.peek();
-        if (first == null || first.atUs() >= agendaAtUs) {
-            return;
-        }
-        agendaAtUs = first.atUs();
-        clock.after(Math.max(500, first.atUs() - clusterLease.coreUs()), this::runAgenda);
-    }
-
-    private synchronized void runAgenda() {
-        agendaAtUs = Long.MAX_VALUE;
-        var nowUs = clusterLease.coreUs();
-        while (!agenda.isEmpty() && agenda.peek().atUs() <= nowUs) {
-            var timed = agenda.poll();
-            if (timed.stamp() == timed.message().stamp) {
-                arrange(partition(timed.message().partition), timed.message());
-            }
-        }
-        armAgenda();
-    }
-
-    private void offer(Partition partition, Message message) {
-        var path = clusterLease.configuration().path(message.host, message.target);
-        if (path.isEmpty()) {
-            if (clusterLease.configuration().revision() > 0) {
-                fail(partition, message, "its path was dropped");
-            }
-            return;
-        }
-        message.aimUs = path.get().startAimUs();
-        var dispatcher = dispatchers.computeIfAbsent(path.get().service(), Dispatcher::new);
-        dispatcher.offer(message, path.get().rank(), clusterLease.coreUs());
-        pump(dispatcher);
-    }
-
-    private boolean mayStart() {
-        return clusterLease.ageUs() < LEG_FRESH_US;
-    }
-
-    private void refreshDispatchers() {
-        var storageNodes = Math.max(1, clusterLease.view().members("storage").size());
-        for (var dispatcher : dispatchers.values()) {
-            var service = clusterLease.configuration().service(dispatcher.service);
-            if (service.isEmpty() || service.get().pull()) {
-                continue;
-            }
-            if (service.get().endpoint().isEmpty()) {
-                dispatcher.targetsOf(clusterLease.roster(), 1.0 / storageNodes);
-            } else if (!dispatcher.targets.containsKey(service.get().endpoint())) {
-                dispatcher.targets.clear();
-                var processor = new ClusterView.Processor("", dispatcher.service, service.get().endpoint(), "", 8, false, 0, "");
-                dispatcher.targets.put(service.get().endpoint(), new Dispatcher.Target(service.get().endpoint(), processor, 8));
-            }
-        }
-    }
-
-    private void pump(Dispatcher dispatcher) {
-        if (dispatcher.empty() || !mayStart()) {
-            return;
-        }
-        var service = clusterLease.configuration().service(dispatcher.service);
-        if (service.isEmpty()) {
-            return;
-        }
-        var rollout = versions.of(dispatcher.service);
-        if (rollout.isPresent()) {
-            refreshDispatchers();
-            pumpShifted(dispatcher, service.get(), rollout.get());
-        } else if (service.get().pull()) {
-            pumpPull(dispatcher);
-        } else {
-            if (dispatcher.targets.isEmpty()) {
-                refreshDispatchers();
-            }
-            pumpPush(dispatcher, service.get());
-        }
-    }
-
-    private int tries(Message message) {
-        return clusterLease.configuration().path(message.host, message.target).map(Configuration.Path::tries).orElse(Integer.MAX_VALUE);
-    }
-
-    private void pumpShifted(Dispatcher dispatcher, Configuration.Service service, Rollout rollout) {
-        var aside = new ArrayList<Message>();
-        var nowUs = clusterLease.coreUs();
-        dispatcher.targets.values().forEach(target -> versions.sees(dispatcher.service, target.processor.version(), nowUs));
-        dispatcher.demands.removeIf(demand -> demand.expiresUs() <= clock.steadyUs());
-        while (!dispatcher.empty() && aside.size() < ASIDE_MOST && (service.pull() ? !dispatcher.demands.isEmpty() : hasToken(dispatcher, service, nowUs))) {
-            var picked = pick(dispatcher);
-            if (picked.isEmpty()) {
-                break;
-            }
-            var started = service.pull() ? handOutShifted(dispatcher, rollout, picked.get(), nowUs) : pushShifted(dispatcher, service, rollout, picked.get(), nowUs);
-            if (!started) {
-                aside.add(picked.get());
-            }
-        }
-        dispatcher.putBack(aside);
-        if (service.pull() && !dispatcher.empty()) {
-            askDemand(dispatcher);
-        }
-    }
-
-    private boolean handOutShifted(Dispatcher dispatcher, Rollout rollout, Message message, long nowUs) {
-        Dispatcher.Demand best = null;
-        var bestOrder = RolloutRouter.NEVER;
-        for (var demand : dispatcher.demands) {
-            var order = versions.order(rollout, message, tries(message), demand.version(), nowUs);
-            if (order < bestOrder) {
-                best = demand;
-                bestOrder = order;
-            }
-        }
-        if (best == null) {
-            return false;
-        }
-        var chosen = best;
-        dispatcher.demands.remove(chosen);
-        handOutTo(dispatcher, message, chosen);
-        return true;
-    }
-
-    private boolean pushShifted(Dispatcher dispatcher, Configuration.Service service, Rollout rollout, Message message, long nowUs) {
-        for (var order = 0; order < RolloutRouter.NEVER; order++) {
-            var wanted = order;
-            var target = choose(dispatcher, nowUs, each -> versions.order(rollout, message, tries(message), each.processor.version(), nowUs) == wanted);
-            if (target.isPresent()) {
-                pushTo(dispatcher, service, target.get(), message);
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private void runs(Message message, String service, String version) {
-        message.ranVersion = version;
-        message.spentOnNew |= versions.of(service).map(rollout -> !version.isEmpty() && rollout.next().equals(version)).orElse(false);
-    }
-
-    private void judged(Message message, boolean bad) {
-        clusterLease.configuration().path(message.host, message.target).ifPresent(path -> {
-            if (versions.outcome(path.service(), message.ranVersion, bad)) {
-                LOG.log(System.Logger.Level.WARNING, "code=" + ResultCode.SHIFT_MOVES.number() + " " + path.service() + ": errors of the new version passed the tolerance here; no more work for it");
-                clusterLease.renew();
-            }
-        });
-    }
-
-    private void handOutTo(Dispatcher dispatcher, Message message, Dispatcher.Demand demand) {
-        runs(message, dispatcher.service, demand.version());
-        message.ranAt = demand.worker().isEmpty() ? "a worker at " + demand.edgeIp() : demand.worker();
-        grant(message, options.visibleUs(), (partition, granted) -> handOut(partition, granted, demand, dispatcher.service));
-    }
-
-    private void pumpPull(Dispatcher dispatcher) {
-        var nowUs = clock.steadyUs();
-        while (!dispatcher.empty()) {
-            var demand = dispatcher.demands.pollFirst();
-            if (demand == null) {
-                askDemand(dispatcher);
-                return;
-            }
-            if (demand.expiresUs() > nowUs) {
-                var picked = pick(dispatcher);
-                if (picked.isEmpty()) {
-                    dispatcher.demands.addFirst(demand);
-                    return;
-                }
-                handOutTo(dispatcher, picked.get(), demand);
-            }
-        }
-    }
-
-    private void askDemand(Dispatcher dispatcher) {
-        if (!dispatcher.asked) {
-            dispatcher.asked = true;
-            askedEdges().forEach(edge -> wire.send(edge.ip(), Frame.of("hungry").with("service", dispatcher.service).with("n", dispatcher.waiting)));
-            clock.after(20_000, () -> {
-                synchronized (this) {
-                    dispatcher.asked = false;
-                    pump(dispatcher);
-                }
-            });
-        }
-    }
-
-    private List<ClusterView.Member> askedEdges() {
-        var all = clusterLease.view().members("edge");
-        if (all.size() <= ASKED_MOST) {
-            return all;
-        }
-        var from = asks++ * ASKED_MOST % all.size();
-        var asked = new ArrayList<ClusterView.Member>();
-        for (var step = 0; step < ASKED_MOST; step++) {
-            asked.add(all.get((from + step) % all.size()));
-        }
-        return asked;
-    }
-
-    private Optional<Message> pick(Dispatcher dispatcher) {
-        while (!dispatcher.empty()) {
-            var next = dispatcher.next(clusterLease.coreUs());
-            if (next.isEmpty()) {
-                return next;
-            }
-            var message = next.get();
-            if (clusterLease.coreUs() < message.expireUs && clusterLease.configuration().path(message.host, message.target).map(path -> path.service().equals(dispatcher.service)).orElse(false)) {
-                return next;
-            }
-            arrange(partition(message.partition), message);
-        }
-        return Optional.empty();
-    }
-
-    private interface Start {
-        void start(Partition partition, Message message);
-    }
-
-    private void grant(Message message, long runUs, Start start) {
-        var partition = partition(message.partition);
-        message.running = true;
-        message.attempt++;
-        message.rev++;
-        message.lease = partition.number + "." + partition.place.epoch() + "." + message.attempt;
-        message.untilUs = clusterLease.coreUs() + runUs;
-        var lease = message.lease;
-        replicate(partition, message, message::change, false, () -> {
-            if (partition.open && present(partition, message) && message.lease.equals(lease)) {
-                message.onLeave = () -> { };
-                start.start(partition, message);
-            } else {
-                leaveTarget(message);
-            }
-        });
-    }
-
-    private static void leaveTarget(Message message) {
-        message.onLeave.run();
-        message.onLeave = () -> { };
-    }
-
-    private void handOut(Partition partition, Message message, Dispatcher.Demand demand, String service) {
-        if (options.watch()) {
-            stragglers.begins(service, demand.worker(), message.host + message.target, message.lease, clusterLease.coreUs());
-        }
-        startCounted(message, service);
-        wire.send(demand.edgeIp(), Frame.of("job").with("token", demand.token()).with("line", partition.number).with("id", message.id).with("lease", message.lease)
-            .with("method", message.method).with("target", message.target).with("tenant", message.tenant).with("type", message.contentType).with("okey", message.orderKey).with("body", message.body));
-        message.untilUs = clusterLease.coreUs() + options.visibleUs();
-        watchLease(partition, message, message.lease);
-    }
-
-    private void watchLease(Partition partition, Message message, String lease) {
-        clock.after(Math.max(1000, message.untilUs + 60_000 - clusterLease.coreUs()), () -> {
-            synchronized (this) {
-                if (!partition.open || !present(partition, message) || !message.running || !message.lease.equals(lease) || !message.waiting() || message.settling) {
-                    return;
-                }
-                if (clusterLease.coreUs() < message.untilUs + 50_000) {
-                    watchLease(partition, message, lease);
-                    return;
-                }
-                attemptCounted(message);
-                message.notes("silent; may have run");
-                message.running = false;
-                message.nextUs = 0;
-                stragglers.ends(lease, false, clusterLease.coreUs());
-                judged(message, true);
