--- a/src/test/java/wellwheel/transport/LinksTest.java
+++ b/src/test/java/wellwheel/transport/LinksTest.java
@@ -1,6 +1,5 @@
 package wellwheel.transport;
 
-import wellwheel.runtime.LoopClock;
 import static com.google.common.truth.Truth.assertThat;
 
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -18,213 +17,223 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import wellwheel.runtime.LoopClock;
 
 class LinksTest {
-    private static final NioEventLoopGroup GROUP = new NioEventLoopGroup(1);
-    private static final String HERE = "127.0.0.1";
-    private static final String THERE = "127.0.0.2";
-    private static final String PEER = "10.9.9.9";
-    private static final long FIRST = 1_700_000_000_000_000L;
-    private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
-    private final BlockingQueue<String> unsent = new LinkedBlockingQueue<>();
-    private final BlockingQueue<String> down = new LinkedBlockingQueue<>();
-    private int port;
-    private Links links;
-
-    private static final class Peer implements AutoCloseable {
-        final Socket socket;
-        final DataInputStream in;
-        final DataOutputStream out;
-
-        Peer(Socket socket) throws IOException {
-            this.socket = socket;
-            socket.setSoTimeout(10_000);
-            in = new DataInputStream(socket.getInputStream());
-            out = new DataOutputStream(socket.getOutputStream());
-        }
-
-        Peer says(Frame frame) throws IOException {
-            var bytes = frame.pack();
-            out.writeInt(bytes.length);
-            out.write(bytes);
-            return this;
-        }
-
-        void saysIfOpen(Frame frame) {
-            try {
-                says(frame);
-            } catch (IOException e) {
-                assertThat(e).hasMessageThat().containsMatch("reset|pipe");
-            }
-        }
-
-        Frame hears() throws IOException {
-            var bytes = new byte[in.readInt()];
-            in.readFully(bytes);
-            return Frame.unpack(bytes);
-        }
-
-        boolean isClosed() {
-            try {
-                return in.read() < 0;
-            } catch (IOException e) {
-                return e.getMessage().contains("reset");
-            }
-        }
-
-        @Override
-        public void close() throws IOException {
-            socket.close();
-        }
+  private static final NioEventLoopGroup GROUP = new NioEventLoopGroup(1);
+  private static final String HERE = "127.0.0.1";
+  private static final String THERE = "127.0.0.2";
+  private static final String PEER = "10.9.9.9";
+  private static final long FIRST = 1_700_000_000_000_000L;
+  private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+  private final BlockingQueue<String> unsent = new LinkedBlockingQueue<>();
+  private final BlockingQueue<String> down = new LinkedBlockingQueue<>();
+  private int port;
+  private Links links;
+
+  private static final class Peer implements AutoCloseable {
+    final Socket socket;
+    final DataInputStream in;
+    final DataOutputStream out;
+
+    Peer(Socket socket) throws IOException {
+      this.socket = socket;
+      socket.setSoTimeout(10_000);
+      in = new DataInputStream(socket.getInputStream());
+      out = new DataOutputStream(socket.getOutputStream());
     }
 
-    @BeforeEach
-    void open() throws Exception {
-        try (var socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = socket.getLocalPort();
-        }
-        links = new Links(HERE, port, GROUP.next(), new LoopClock(GROUP.next()));
-        links.open(new Network.MessageHandler() {
-            @Override
-            public void onFrame(String peerIp, Frame frame) {
-                heard.add(peerIp + " " + frame.kind());
-            }
-
-            @Override
-            public void onDown(String peerIp) {
-                down.add(peerIp);
-            }
-
-            @Override
-            public void onUnsent(String peerIp, Frame frame) {
-                unsent.add(frame.kind());
-            }
-        });
+    Peer says(Frame frame) throws IOException {
+      var bytes = frame.pack();
+      out.writeInt(bytes.length);
+      out.write(bytes);
+      return this;
     }
 
-    @AfterAll
-    static void close() {
-        GROUP.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    void saysIfOpen(Frame frame) {
+      try {
+        says(frame);
+      } catch (IOException e) {
+        assertThat(e).hasMessageThat().containsMatch("reset|pipe");
+      }
     }
 
-    private Peer peer(long life, long number) throws IOException {
-        return new Peer(new Socket(HERE, port)).says(Frame.of("hello").with("proto", 1).with("ip", PEER).with("life", life).with("c", number));
+    Frame hears() throws IOException {
+      var bytes = new byte[in.readInt()];
+      in.readFully(bytes);
+      return Frame.unpack(bytes);
     }
 
-    private String next() throws InterruptedException {
-        return String.valueOf(heard.poll(10, TimeUnit.SECONDS));
+    boolean isClosed() {
+      try {
+        return in.read() < 0;
+      } catch (IOException e) {
+        return e.getMessage().contains("reset");
+      }
     }
 
-    @Test
-    void framesOfAnOlderLifeOrConnectionAreNotHeardOnceANewerOneHasSpoken() throws Exception {
-        for (var step : new long[][] {{0, 2}, {1, 1}}) {
-            try (var old = peer(FIRST, 1)) {
-                old.says(Frame.of("a"));
-                assertThat(next()).isEqualTo(PEER + " a");
-                try (var newer = peer(FIRST + step[0], step[1])) {
-                    newer.says(Frame.of("b"));
-                    assertThat(next()).isEqualTo(PEER + " b");
-                    old.saysIfOpen(Frame.of("c"));
-                    assertThat(old.isClosed()).isTrue();
-                    newer.says(Frame.of("d"));
-                    assertThat(next()).isEqualTo(PEER + " d");
-                    assertThat(heard).isEmpty();
-                }
-            }
-            open();
-        }
+    @Override
+    public void close() throws IOException {
+      socket.close();
     }
+  }
 
-    private Peer refused(long life, long number) throws IOException {
-        var late = peer(life, number).says(Frame.of("b"));
-        var told = late.hears();
-        assertThat(told.kind()).isEqualTo("stale");
-        assertThat(told.number("life")).isEqualTo(FIRST + 7);
-        return late.says(Frame.of("b"));
+  @BeforeEach
+  void open() throws Exception {
+    try (var socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      port = socket.getLocalPort();
     }
-
-    @Test
-    void aLateHelloOfAnOlderLifeOrConnectionIsRefusedAndToldWhichIsKnown() throws Exception {
-        try (var newest = peer(FIRST + 7, 2)) {
-            newest.says(Frame.of("a"));
-            assertThat(next()).isEqualTo(PEER + " a");
-            var late = new ArrayList<Peer>();
-            for (var older : new long[][] {{0, 5}, {7, 1}, {7, 2}}) {
-                late.add(refused(FIRST + older[0], older[1]));
-            }
-            for (var each : late) {
-                assertThat(each.isClosed()).isTrue();
-            }
-            newest.says(Frame.of("c"));
-            assertThat(next()).isEqualTo(PEER + " c");
-            assertThat(heard).isEmpty();
+    links = new Links(HERE, port, GROUP.next(), new LoopClock(GROUP.next()));
+    links.open(
+        new Network.MessageHandler() {
+          @Override
+          public void onFrame(String peerIp, Frame frame) {
+            heard.add(peerIp + " " + frame.kind());
+          }
+
+          @Override
+          public void onDown(String peerIp) {
+            down.add(peerIp);
+          }
+
+          @Override
+          public void onUnsent(String peerIp, Frame frame) {
+            unsent.add(frame.kind());
+          }
+        });
+  }
+
+  @AfterAll
+  static void close() {
+    GROUP.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private Peer peer(long life, long number) throws IOException {
+    return new Peer(new Socket(HERE, port))
+        .says(
+            Frame.of("hello")
+                .with("proto", 1)
+                .with("ip", PEER)
+                .with("life", life)
+                .with("c", number));
+  }
+
+  private String next() throws InterruptedException {
+    return String.valueOf(heard.poll(10, TimeUnit.SECONDS));
+  }
+
+  @Test
+  void framesOfAnOlderLifeOrConnectionAreNotHeardOnceANewerOneHasSpoken() throws Exception {
+    for (var step : new long[][] {{0, 2}, {1, 1}}) {
+      try (var old = peer(FIRST, 1)) {
+        old.says(Frame.of("a"));
+        assertThat(next()).isEqualTo(PEER + " a");
+        try (var newer = peer(FIRST + step[0], step[1])) {
+          newer.says(Frame.of("b"));
+          assertThat(next()).isEqualTo(PEER + " b");
+          old.saysIfOpen(Frame.of("c"));
+          assertThat(old.isClosed()).isTrue();
+          newer.says(Frame.of("d"));
+          assertThat(next()).isEqualTo(PEER + " d");
+          assertThat(heard).isEmpty();
         }
+      }
+      open();
     }
-
-    @Test
-    void peersOfTheFormerVersionSayNoLifeAndAreHeard() throws Exception {
-        try (var newer = peer(FIRST, 1)) {
-            newer.says(Frame.of("a"));
-            assertThat(next()).isEqualTo(PEER + " a");
-            try (var former = new Peer(new Socket(HERE, port)).says(Frame.of("hello").with("proto", 1).with("ip", PEER))) {
-                former.says(Frame.of("b"));
-                assertThat(next()).isEqualTo(PEER + " b");
-            }
-        }
+  }
+
+  private Peer refused(long life, long number) throws IOException {
+    var late = peer(life, number).says(Frame.of("b"));
+    var told = late.hears();
+    assertThat(told.kind()).isEqualTo("stale");
+    assertThat(told.number("life")).isEqualTo(FIRST + 7);
+    return late.says(Frame.of("b"));
+  }
+
+  @Test
+  void aLateHelloOfAnOlderLifeOrConnectionIsRefusedAndToldWhichIsKnown() throws Exception {
+    try (var newest = peer(FIRST + 7, 2)) {
+      newest.says(Frame.of("a"));
+      assertThat(next()).isEqualTo(PEER + " a");
+      var late = new ArrayList<Peer>();
+      for (var older : new long[][] {{0, 5}, {7, 1}, {7, 2}}) {
+        late.add(refused(FIRST + older[0], older[1]));
+      }
+      for (var each : late) {
+        assertThat(each.isClosed()).isTrue();
+      }
+      newest.says(Frame.of("c"));
+      assertThat(next()).isEqualTo(PEER + " c");
+      assertThat(heard).isEmpty();
     }
-
-    @Test
-    void whoseClockWentBackTakesALaterLifeWhenItIsToldSo() throws Exception {
-        try (var server = new ServerSocket(port, 10, InetAddress.getByName(THERE))) {
-            links.send(THERE, Frame.of("a"));
-            var known = Long.MAX_VALUE / 2;
-            try (var first = new Peer(server.accept())) {
-                var hello = first.hears();
-                assertThat(hello.number("life")).isLessThan(known);
-                first.says(Frame.of("stale").with("life", known));
-                assertThat(first.hears().kind()).isEqualTo("a");
-                assertThat(first.isClosed()).isTrue();
-            }
-            assertThat(down.poll(10, TimeUnit.SECONDS)).isEqualTo(THERE);
-            links.send(THERE, Frame.of("b"));
-            try (var second = new Peer(server.accept())) {
-                assertThat(second.hears().number("life")).isGreaterThan(known);
-                assertThat(second.hears().kind()).isEqualTo("b");
-            }
-        }
+  }
+
+  @Test
+  void peersOfTheFormerVersionSayNoLifeAndAreHeard() throws Exception {
+    try (var newer = peer(FIRST, 1)) {
+      newer.says(Frame.of("a"));
+      assertThat(next()).isEqualTo(PEER + " a");
+      try (var former =
+          new Peer(new Socket(HERE, port))
+              .says(Frame.of("hello").with("proto", 1).with("ip", PEER))) {
+        former.says(Frame.of("b"));
+        assertThat(next()).isEqualTo(PEER + " b");
+      }
     }
-
-    @Test
-    void connectionsOfOneLifeAreNumbered() throws Exception {
-        try (var server = new ServerSocket(port, 10, InetAddress.getByName(THERE))) {
-            var former = Frame.of("none");
-            for (var turn = 0; turn < 3; turn++) {
-                links.send(THERE, Frame.of("a"));
-                try (var peer = new Peer(server.accept())) {
-                    var hello = peer.hears();
-                    assertThat(hello.number("c")).isGreaterThan(former.number("c"));
-                    former = hello;
-                }
-                assertThat(down.poll(10, TimeUnit.SECONDS)).isEqualTo(THERE);
-            }
-        }
+  }
+
+  @Test
+  void whoseClockWentBackTakesALaterLifeWhenItIsToldSo() throws Exception {
+    try (var server = new ServerSocket(port, 10, InetAddress.getByName(THERE))) {
+      links.send(THERE, Frame.of("a"));
+      var known = Long.MAX_VALUE / 2;
+      try (var first = new Peer(server.accept())) {
+        var hello = first.hears();
+        assertThat(hello.number("life")).isLessThan(known);
+        first.says(Frame.of("stale").with("life", known));
+        assertThat(first.hears().kind()).isEqualTo("a");
+        assertThat(first.isClosed()).isTrue();
+      }
+      assertThat(down.poll(10, TimeUnit.SECONDS)).isEqualTo(THERE);
+      links.send(THERE, Frame.of("b"));
+      try (var second = new Peer(server.accept())) {
+        assertThat(second.hears().number("life")).isGreaterThan(known);
+        assertThat(second.hears().kind()).isEqualTo("b");
+      }
     }
-
-    @Test
-    void aFrameOfWhichAnyByteMayHaveLeftIsNeverCalledUnsent() throws Exception {
-        var big = new byte[12 << 20];
-        new Random(1).nextBytes(big);
-        try (var server = new ServerSocket(port, 10, InetAddress.getByName(THERE))) {
-            links.send(THERE, Frame.of("big").with("b", big));
-            try (var peer = new Peer(server.accept())) {
-                assertThat(peer.hears().kind()).isEqualTo("hello");
-                assertThat(peer.in.readInt()).isAtLeast(big.length);
-                peer.socket.setSoLinger(true, 0);
-            }
-            assertThat(down.poll(10, TimeUnit.SECONDS)).isEqualTo(THERE);
+  }
+
+  @Test
+  void connectionsOfOneLifeAreNumbered() throws Exception {
+    try (var server = new ServerSocket(port, 10, InetAddress.getByName(THERE))) {
+      var former = Frame.of("none");
+      for (var turn = 0; turn < 3; turn++) {
+        links.send(THERE, Frame.of("a"));
+        try (var peer = new Peer(server.accept())) {
+          var hello = peer.hears();
+          assertThat(hello.number("c")).isGreaterThan(former.number("c"));
+          former = hello;
         }
-        links.send(THERE, Frame.of("later"));
-        assertThat(unsent.poll(10, TimeUnit.SECONDS)).isEqualTo("later");
-        assertThat(unsent).isEmpty();
+        assertThat(down.poll(10, TimeUnit.SECONDS)).isEqualTo(THERE);
+      }
+    }
+  }
+
+  @Test
+  void aFrameOfWhichAnyByteMayHaveLeftIsNeverCalledUnsent() throws Exception {
+    var big = new byte[12 << 20];
+    new Random(1).nextBytes(big);
+    try (var server = new ServerSocket(port, 10, InetAddress.getByName(THERE))) {
+      links.send(THERE, Frame.of("big").with("b", big));
+      try (var peer = new Peer(server.accept())) {
+        assertThat(peer.hears().kind()).isEqualTo("hello");
+        assertThat(peer.in.readInt()).isAtLeast(big.length);
+        peer.socket.setSoLinger(true, 0);
+      }
+      assertThat(down.poll(10, TimeUnit.SECONDS)).isEqualTo(THERE);
     }
+    links.send(THERE, Frame.of("later"));
+    assertThat(unsent.poll(10, TimeUnit.SECONDS)).isEqualTo("later");
+    assertThat(unsent).isEmpty();
+  }
 }
