--- a/src/main/java/wellwheel/config/NodeOptions.java
+++ b/src/main/java/wellwheel/config/NodeOptions.java
@@ -35,10 +35,28 @@
     long syncUs,
     boolean watch,
     int surviveZones,
-    History history) {
+    History history,
+    Receipts receipts) {
+
+  private static final double DEFAULT_KEY_WINDOW_S = 60;
+  private static final double DEFAULT_KEY_WAIT_MS = 10_000;
+  private static final double DEFAULT_RECEIPTS_MOST = 200_000;
+
+  /** A try may arrive so long after it was sent: the longest wait and some delay on the way. */
+  private static final double KEY_ARRIVAL_SLACK_S = 30;
 
   public record History(boolean enabled, long intervalUs, long flushUs) {}
 
+  /**
+   * Bounds of the receipts for idempotency keys.
+   *
+   * @param waitUs the longest that an edge node holds a request that carries a key, from its
+   *     arrival; the client's own limit counts if it is shorter
+   * @param keepUs how long a key is remembered at least, from the arrival of the first try
+   * @param most receipts that one storage node may hold; above that new keys are refused
+   */
+  public record Receipts(long waitUs, long keepUs, int most) {}
+
   public static final class Unusable extends Exception {
     Unusable(String why) {
       super(why);
@@ -90,7 +108,8 @@
           us(part(root, "Admission"), "SyncEveryMs", 100),
           part(root, "Watch").has("Enabled") && part(root, "Watch").get("Enabled").getAsBoolean(),
           (int) amount(part(root, "Survive"), "Zones", 0),
-          history(part(root, "History")));
+          history(part(root, "History")),
+          receipts(part(root, "Receipts"), timing));
     } catch (RuntimeException e) {
       throw new Unusable("the options file is not usable: " + e.getMessage());
     }
@@ -112,6 +131,24 @@
     return found;
   }
 
+  private static Receipts receipts(JsonObject from, JsonObject timing) {
+    var windowS = amount(timing, "KeyWindowS", DEFAULT_KEY_WINDOW_S);
+    var found =
+        new Receipts(
+            us(from, "WaitMs", DEFAULT_KEY_WAIT_MS),
+            (long) (amount(from, "KeepS", windowS + KEY_ARRIVAL_SLACK_S) * 1e6),
+            (int) amount(from, "Most", DEFAULT_RECEIPTS_MOST));
+    if (found.waitUs < 100_000
+        || found.waitUs > 60_000_000
+        || found.keepUs < windowS * 1e6
+        || found.keepUs > 86_400_000_000L
+        || found.most < 1) {
+      throw new IllegalArgumentException(
+          "Receipts: WaitMs is 100 to 60000, KeepS Timing.KeyWindowS to 86400, Most 1 at least");
+    }
+    return found;
+  }
+
   private static JsonElement need(JsonObject from, String field) {
     if (!from.has(field) || from.get(field).isJsonNull()) {
       throw new IllegalArgumentException(field + " is missing");
--- a/src/main/java/wellwheel/edge/EdgeNode.java
+++ b/src/main/java/wellwheel/edge/EdgeNode.java
@@ -13,9 +13,12 @@
 import java.util.function.Consumer;
 import wellwheel.cluster.ClusterLease;
 import wellwheel.cluster.ClusterView;
+import wellwheel.cluster.PartitionHash;
 import wellwheel.config.Configuration;
 import wellwheel.config.NodeOptions;
 import wellwheel.history.QueueHistory;
+import wellwheel.receipts.IdempotencyKey;
+import wellwheel.receipts.RequestDigest;
 import wellwheel.runtime.Clock;
 import wellwheel.runtime.ResultCode;
 import wellwheel.runtime.WakeUpTimer;
@@ -40,6 +43,8 @@
   private static final int QUIET_INTERVALS = 4;
   private static final int OPEN_MOST = 8192;
   private static final int STEPS_MOST = 8;
+  private static final long WAIT_MOST_US = 10_000_000;
+  private static final long DEFAULT_TIME_LEFT_MS = 2000;
 
   private static final class Put {
     Exchange exchange;
@@ -343,6 +348,10 @@
       exchange.answer(Answer.of(ResultCode.BAD_DELAY));
       return;
     }
+    if (!IdempotencyKey.valid(exchange.headers(IdempotencyKey.HEADER))) {
+      exchange.answer(Answer.of(ResultCode.BAD_IDEMPOTENCY_KEY));
+      return;
+    }
     if (puts.size() >= OPEN_MOST) {
       exchange.answer(Answer.later(ResultCode.NOT_KEPT, 1).closing());
       return;
@@ -472,7 +481,7 @@
     var tenantName = tenant.map(Configuration.Tenant::name).orElse("");
     put.exchange = exchange;
     put.holdUntilUs = nowUs + path.aimUs() / 5;
-    put.giveUpUs = nowUs + Math.min(10_000_000, number(exchange, "Time-Left-Ms", 2000) * 1000);
+    put.giveUpUs = nowUs + waitUs(exchange);
     put.frame =
         Frame.of("put")
             .with("i", name)
@@ -488,11 +497,17 @@
     if (!steps.isEmpty()) {
       put.frame.with("ra", List.<Object>copyOf(steps));
     }
+    var key = exchange.header(IdempotencyKey.HEADER).orElse("");
+    if (!key.isEmpty()) {
+      addKey(put, exchange, path, key);
+    }
     var service = clusterLease.configuration().service(path.service());
     if (path.inOrder() && !orderKey.isEmpty()) {
-      put.fixedPartition = Optional.of(spread(tenantName + "\n" + orderKey));
+      put.fixedPartition = Optional.of(PartitionHash.partitionOf(tenantName + "\n" + orderKey));
     } else if (service.map(Configuration.Service::paced).orElse(false)) {
-      put.fixedPartition = Optional.of(spread(path.service()));
+      put.fixedPartition = Optional.of(PartitionHash.partitionOf(path.service()));
+    } else if (!key.isEmpty()) {
+      put.fixedPartition = Optional.of(IdempotencyKey.homePartition(tenantName, key));
     } else {
       put.fixedPartition = Optional.empty();
     }
@@ -501,13 +516,24 @@
     send(rid, put);
   }
 
-  private static int spread(String text) {
-    var hash = 0xcbf29ce484222325L;
-    for (var b : text.getBytes(StandardCharsets.UTF_8)) {
-      hash = (hash ^ b) * 0x100000001b3L;
-    }
-    hash ^= hash >>> 32;
-    return (int) Math.floorMod(hash * 0x9e3779b97f4a7c15L >>> 20, (long) ClusterView.PARTITIONS);
+  /** How long an answer may be waited for, counted from the request's arrival. */
+  private long waitUs(Exchange exchange) {
+    var leftUs = number(exchange, "Time-Left-Ms", DEFAULT_TIME_LEFT_MS) * 1000;
+    var keyed = exchange.header(IdempotencyKey.HEADER).isPresent();
+    return Math.min(keyed ? options.receipts().waitUs() : WAIT_MOST_US, leftUs);
+  }
+
+  private static void addKey(Put put, Exchange exchange, Configuration.Path path, String key) {
+    var runsAfter = exchange.header("Runs-After").map(List::of).orElse(List.of());
+    var digest =
+        RequestDigest.of(
+            exchange.method(),
+            put.frame.text("h"),
+            exchange.target(),
+            exchange.header("Order-Key").orElse(""),
+            runsAfter,
+            exchange.body());
+    put.frame.with("ik", key).with("sv", path.service()).with("dg", digest.toBytes());
   }
 
   private void send(long rid, Put put) {
@@ -585,10 +611,7 @@
       put.exchange.answer(Answer.of(ResultCode.UNSURE));
       return;
     }
-    limiter.giveBack(put.channelKey);
-    if (!put.tenantKey.isEmpty()) {
-      limiter.giveBack(put.tenantKey);
-    }
+    giveBackHits(put);
     clusterLease
         .configuration()
         .path(put.frame.text("h"), put.frame.text("p"))
@@ -602,13 +625,30 @@
     if (put == null) {
       return;
     }
-    if (frame.text("r").equals("kept")) {
-      puts.remove(rid);
-      put.exchange.answer(
-          Answer.of(ResultCode.KEPT, "Message-Name", name(put.partition, put.frame.text("i"))));
-      return;
+    switch (frame.text("r")) {
+      case "kept" -> {
+        puts.remove(rid);
+        if (!frame.text("i").equals(put.frame.text("i"))) {
+          giveBackHits(put);
+        }
+        put.exchange.answer(
+            Answer.of(ResultCode.KEPT, "Message-Name", name(frame.small("l"), frame.text("i"))));
+      }
+      case "reused" -> {
+        puts.remove(rid);
+        giveBackHits(put);
+        put.exchange.answer(Answer.of(ResultCode.KEY_REUSED));
+      }
+      default -> retry(rid, put);
+    }
+  }
+
+  /** The request runs nothing: it must not count against the limits. */
+  private void giveBackHits(Put put) {
+    limiter.giveBack(put.channelKey);
+    if (!put.tenantKey.isEmpty()) {
+      limiter.giveBack(put.tenantKey);
     }
-    retry(rid, put);
   }
 
   private static String name(int partition, String id) {
--- a/src/main/java/wellwheel/queue/Message.java
+++ b/src/main/java/wellwheel/queue/Message.java
@@ -2,16 +2,24 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
+import wellwheel.receipts.IdempotencyKey;
+import wellwheel.receipts.RequestDigest;
+import wellwheel.replication.ReplicatedRecord;
 import wellwheel.transport.Frame;
 
-final class Message {
+/** A message in a partition: its record on disk and what the primary knows of it beside that. */
+final class Message extends ReplicatedRecord {
   enum State {
     WAITING,
     FINISHED,
     FAILED
   }
 
+  /** Kind of the record that removes a message or receipt from a copy. */
+  static final String REMOVAL = "x";
+
   private static final int ATTEMPTS_MOST = 8;
 
   final int partition;
@@ -22,8 +30,16 @@
   final String target;
   final String contentType;
   final String orderKey;
+
+  /** Service at the time of the hand-in; known of messages with an idempotency key. */
+  final String service;
+
+  /** Idempotency key of the client, empty if there was none. */
+  final String key;
+
+  final RequestDigest digest;
   byte[] body;
-  final long number;
+  long number;
   final long acceptedUs;
   final long dueUs;
   final long expireUs;
@@ -32,9 +48,6 @@
   long endedUs;
   int fails;
   long attempt;
-  long epoch;
-  long rev;
-  long seq;
   String lease = "";
   long untilUs;
   String endedLease = "";
@@ -51,6 +64,22 @@
   int bounces;
   List<String> after = List.of();
   String heldBy = "";
+
+  /** Leases that their workers have ended, oldest first. */
+  List<SettledLease> settled = List.of();
+
+  /** The claim on the key that is not decided yet. */
+  Optional<KeyClaim> claim = Optional.empty();
+
+  /** Whether every copy has it, while its key is not decided yet. */
+  boolean stored;
+
+  /** Whether it has no place in its order yet, as its key was never granted. */
+  boolean unlisted;
+
+  /** Whether it was taken back before it was confirmed; its record then is its removal. */
+  boolean withdrawn;
+
   long freedUs;
   String ranAt = "";
   String lastOutcome = "";
@@ -61,7 +90,7 @@
   boolean spentOnNew;
   String ranVersion = "";
   Runnable onLeave = () -> {};
-  final List<Consumer<Boolean>> keptWaiters = new ArrayList<>();
+  final List<Consumer<PutOutcome>> keptWaiters = new ArrayList<>();
   final List<Runnable> settleWaiters = new ArrayList<>();
 
   Message(Frame frame) {
@@ -73,6 +102,9 @@
     target = frame.text("p");
     contentType = frame.text("ct");
     orderKey = frame.text("o");
+    service = frame.text("sv");
+    key = frame.text("ik");
+    digest = RequestDigest.read(frame.bytes("dg"));
     body = frame.bytes("b");
     number = frame.number("n");
     acceptedUs = frame.number("a");
@@ -87,7 +119,7 @@
     endedUs = frame.number("en");
     fails = frame.small("f");
     attempt = frame.number("g");
-    rev = frame.number("v");
+    revision = frame.number("v");
     epoch = frame.number("ep");
     lease = frame.has("le") ? partition + "." + frame.number("le") + "." + attempt : "";
     endedLease = frame.flag("ee") ? lease : "";
@@ -96,6 +128,7 @@
     spentOnNew = frame.flag("z");
     after = frame.has("ra") ? List.copyOf(frame.texts("ra")) : List.of();
     heldBy = frame.text("hb");
+    settled = SettledLease.unpack(frame.numbers("es"));
   }
 
   boolean isHandInOf(Frame put) {
@@ -103,13 +136,50 @@
         && host.equals(put.text("h"))
         && method.equals(put.text("m"))
         && target.equals(put.text("p"))
-        && orderKey.equals(put.text("o"));
+        && orderKey.equals(put.text("o"))
+        && key.equals(put.text("ik"))
+        && digest.equals(RequestDigest.read(put.bytes("dg")));
   }
 
   static long epochOf(String lease) {
     return lease.isEmpty() ? 0 : Long.parseLong(lease.split("\\.")[1]);
   }
 
+  static long attemptOf(String lease) {
+    return lease.isEmpty() ? 0 : Long.parseLong(lease.split("\\.")[2]);
+  }
+
+  boolean keyed() {
+    return !key.isEmpty();
+  }
+
+  String keyScope() {
+    return IdempotencyKey.scope(tenant, key);
+  }
+
+  int homePartition() {
+    return IdempotencyKey.homePartition(tenant, key);
+  }
+
+  /** The receipt of the lease, if its worker has ended it. */
+  Optional<SettledLease> settlementOf(SettledLease end) {
+    return settled.stream().filter(end::sameLease).findFirst();
+  }
+
+  /** The receipt of the lease in a list, empty if its worker has not ended it. */
+  List<SettledLease> settledUnder(String ofLease) {
+    var any = SettledLease.of(ofLease, 0, "");
+    return settled.stream().filter(any::sameLease).toList();
+  }
+
+  void settles(SettledLease end) {
+    var all = new ArrayList<>(settled);
+    all.removeIf(end::sameLease);
+    all.add(end);
+    settled =
+        List.copyOf(all.subList(Math.max(0, all.size() - SettledLease.KEPT_MOST), all.size()));
+  }
+
   boolean yieldsTo(String otherLease, long openedEpoch) {
     var parts = otherLease.split("\\.");
     var epoch = epochOf(otherLease);
@@ -123,7 +193,46 @@
     attempt = Long.parseLong(otherLease.split("\\.")[2]);
   }
 
-  Frame whole() {
+  @Override
+  public String id() {
+    return id;
+  }
+
+  @Override
+  public Frame transfer(boolean absent, boolean bodiless) {
+    return absent || bodiless && state != State.FINISHED ? whole() : change();
+  }
+
+  @Override
+  public Frame whole() {
+    if (withdrawn) {
+      return removal(partition, id);
+    }
+    var frame = changeAndContents();
+    return keyed() ? frame.with("sv", service).with("ik", key).with("dg", digest.toBytes()) : frame;
+  }
+
+  /** The record that removes another one. */
+  static Frame removal(int partition, String recordId) {
+    return Frame.of(REMOVAL).with("line", partition).with("id", recordId);
+  }
+
+  @Override
+  public boolean mayLag() {
+    return waiting() && !lease.isEmpty();
+  }
+
+  /** Whether the hand-in has the tenant and the key of this message. */
+  boolean isUnderKeyOf(Frame handIn) {
+    return tenant.equals(handIn.text("t")) && key.equals(handIn.text("ik"));
+  }
+
+  /** Whether the hand-in asks for what this message asked for. */
+  boolean isRequestOf(Frame handIn) {
+    return digest.equals(RequestDigest.read(handIn.bytes("dg")));
+  }
+
+  private Frame changeAndContents() {
     return change()
         .with("k", "m")
         .with("t", tenant)
@@ -149,7 +258,7 @@
             .with("en", endedUs)
             .with("f", fails)
             .with("g", attempt)
-            .with("v", rev)
+            .with("v", revision)
             .with("ep", epoch)
             .with("w", endedByWorker)
             .with("q", untold)
@@ -161,6 +270,9 @@
     if (!heldBy.isEmpty()) {
       frame.with("hb", heldBy);
     }
+    if (!settled.isEmpty()) {
+      frame.with("es", SettledLease.pack(settled));
+    }
     return lease.isEmpty() ? frame : frame.with("le", Long.parseLong(lease.split("\\.")[1]));
   }
 
@@ -171,10 +283,6 @@
     attempts = List.copyOf(all.subList(Math.max(0, all.size() - ATTEMPTS_MOST), all.size()));
   }
 
-  boolean olderThan(Frame record) {
-    return epoch < record.number("ep") || epoch == record.number("ep") && rev <= record.number("v");
-  }
-
   boolean waiting() {
     return state == State.WAITING;
   }
@@ -183,7 +291,8 @@
     return tenant + "\n" + orderKey;
   }
 
-  String version() {
-    return state.ordinal() + "." + fails + "." + epoch + "." + rev + (untold ? ".untold" : "");
+  @Override
+  public String version() {
+    return state.ordinal() + "." + fails + "." + epoch + "." + revision + (untold ? ".untold" : "");
   }
 }
--- a/src/main/java/wellwheel/queue/StorageNode.java
+++ b/src/main/java/wellwheel/queue/StorageNode.java
@@ -4,14 +4,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -21,6 +18,10 @@
 import wellwheel.config.Configuration;
 import wellwheel.config.NodeOptions;
 import wellwheel.history.QueueHistory;
+import wellwheel.receipts.MalformedMessageException;
+import wellwheel.receipts.Receipt;
+import wellwheel.receipts.RequestDigest;
+import wellwheel.replication.ReplicatedRecord;
 import wellwheel.runtime.Clock;
 import wellwheel.runtime.ResultCode;
 import wellwheel.storage.Disk;
@@ -51,80 +52,11 @@
   private static final int ASIDE_MOST = 64;
   private static final int ASKED_MOST = 12;
 
-  private static final class Joining {
-    final String node;
-    boolean asked;
-    boolean spoken;
-    boolean level;
-    int owed;
-    final Set<Message> missing = new LinkedHashSet<>();
-    final Set<String> absent = new HashSet<>();
-    final Set<String> bodiless = new HashSet<>();
-    long askedUs;
-    final long sinceUs;
-    final long epoch;
-
-    Joining(String node, long epoch, long nowUs) {
-      this.node = node;
-      this.epoch = epoch;
-      this.sinceUs = nowUs;
-    }
-  }
-
-  private static final class Pending {
-    final long seq;
-    final Supplier<Frame> record;
-    final boolean sync;
-    final Set<String> owing = new HashSet<>();
-    final Runnable then;
-    final long sinceUs;
-    long sentUs;
-    boolean local;
-
-    Pending(long seq, Supplier<Frame> record, boolean sync, Runnable then, long nowUs) {
-      this.seq = seq;
-      this.record = record;
-      this.sync = sync;
-      this.then = then;
-      this.sinceUs = nowUs;
-      this.sentUs = nowUs;
-    }
-  }
-
-  private static final class Partition {
-    final int number;
-    ClusterView.Partition place;
-    boolean seen;
-    Optional<Runnable> askedUnseen = Optional.empty();
-    boolean open;
-    boolean member;
-    boolean comparing;
-    long epoch;
-    long seq;
-    long lastNumber;
-    long openedEpoch;
-    long low;
-    long lowTold;
-    long spokeUs;
-    final Map<String, Message> messages = new LinkedHashMap<>();
-    final Map<String, ArrayDeque<Message>> orders = new HashMap<>();
-    final TreeMap<Long, Pending> pending = new TreeMap<>();
-    final Map<String, Joining> peers = new LinkedHashMap<>();
-    final Map<String, Orphan> orphans = new LinkedHashMap<>();
-
-    Partition(int number) {
-      this.number = number;
-      this.place = ClusterView.Partition.unknown(number);
-    }
-
-    boolean whole() {
-      return place.whole()
-          && place.backups().stream()
-              .allMatch(node -> peers.containsKey(node) && peers.get(node).level);
-    }
-  }
-
-  private record Orphan(Frame outcome, long untilUs) {}
+  /** Leaves room for as many claims and questions as a life of the process can make. */
+  private static final int CLAIM_NUMBER_SHIFT = 3;
+
+  /** Kind of a record that changes nothing and shows that the copies still follow this primary. */
+  private static final String BARRIER = "b";
 
   private record Timed(long atUs, Message message, long stamp) {}
 
@@ -139,6 +71,7 @@
   private final RolloutRouter versions = new RolloutRouter();
   private final QueueHistory history;
   private final StepDependencies steps;
+  private final ReceiptCoordinator receipts;
   private final String id;
   private final Map<String, Long> heardUs = new HashMap<>();
   private final Map<String, Long> brokenUs = new HashMap<>();
@@ -181,9 +114,13 @@
       journal.append(Frame.of("disk").with("id", diskId).pack(), () -> {});
     }
     id = options.node() + "#" + diskId;
-    var life = Long.toHexString(random.nextLong());
+    var lifeNumber = random.nextLong();
+    var life = Long.toHexString(lifeNumber);
     var seeds = options.seeds().stream().map(NodeOptions::hostOf).toList();
     steps = new StepDependencies(clock, this::askStep);
+    receipts =
+        new ReceiptCoordinator(
+            partitionAccess(), options.receipts(), clock, lifeNumber >>> CLAIM_NUMBER_SHIFT);
     history = new QueueHistory(options, life, Optional.of(disk), this::coreNowUs);
     clusterLease =
         new ClusterLease(
@@ -247,7 +184,7 @@
     var waiting = new HashMap<List<String>, Long>();
     partitions.values().stream()
         .filter(partition -> partition.open)
-        .flatMap(partition -> partition.messages.values().stream())
+        .flatMap(partition -> partition.messages().stream())
         .filter(message -> message.waiting() && message.dueUs <= clusterLease.coreUs())
         .forEach(
             message -> waiting.merge(List.of(message.tenant, serviceOf(message)), 1L, Long::sum));
@@ -269,7 +206,7 @@
   private long running(String service) {
     return partitions.values().stream()
         .filter(partition -> partition.open)
-        .flatMap(partition -> partition.messages.values().stream())
+        .flatMap(partition -> partition.messages().stream())
         .filter(message -> message.running && serviceOf(message).equals(service))
         .count();
   }
@@ -302,9 +239,7 @@
 
   private void doubtLastEnds() {
     var all =
-        partitions.values().stream()
-            .flatMap(partition -> partition.messages.values().stream())
-            .toList();
+        partitions.values().stream().flatMap(partition -> partition.messages().stream()).toList();
     var lastUs =
         all.stream()
             .mapToLong(message -> Math.max(message.acceptedUs, message.endedUs))
@@ -327,16 +262,23 @@
     switch (record.kind()) {
       case "disk" -> diskId = record.text("id");
       case "m", "u" -> upsert(partition(record.small("l")), record);
+      case Receipt.KIND -> partition(record.small("l")).receipts.take(record);
       case "f" -> forget(partition(record.small("line")));
-      case "x" ->
-          Optional.ofNullable(partition(record.small("line")).messages.remove(record.text("id")))
-              .ifPresent(old -> liveBytes -= old.body.length);
+      case Message.REMOVAL -> drop(partition(record.small("line")), record.text("id"));
       default -> {}
     }
   }
 
+  private boolean drop(Partition partition, String recordId) {
+    var receipt = partition.receipts.get(recordId);
+    partition.receipts.remove(recordId);
+    var message = partition.remove(recordId);
+    message.ifPresent(old -> liveBytes -= old.body.length);
+    return receipt.isPresent() || message.isPresent();
+  }
+
   private Optional<Message> upsert(Partition partition, Frame record) {
-    var message = partition.messages.get(record.text("i"));
+    var message = partition.messageOrNull(record.text("i"));
     if (message != null) {
       if (!message.olderThan(record)) {
         return Optional.of(message);
@@ -348,7 +290,7 @@
       }
     } else if (record.kind().equals("m")) {
       message = new Message(record);
-      partition.messages.put(message.id, message);
+      partition.add(message);
       partition.lastNumber = Math.max(partition.lastNumber, message.number);
       liveBytes += message.body.length;
     }
@@ -357,22 +299,18 @@
 
   private void forget(Partition partition) {
     partition
-        .messages
-        .values()
+        .messages()
         .forEach(
             message -> {
               liveBytes -= message.body.length;
               leaveTarget(message);
             });
-    dispatchers
-        .values()
-        .forEach(
-            dispatcher -> dispatcher.removeIf(message -> message.partition == partition.number));
-    partition.messages.clear();
-    partition.orders.clear();
-    partition.pending.clear();
-    partition.peers.clear();
-    partition.comparing = false;
+    removeFromDispatchers(message -> message.partition == partition.number);
+    partition.clear();
+  }
+
+  private void removeFromDispatchers(Predicate<Message> leaves) {
+    dispatchers.values().forEach(dispatcher -> dispatcher.removeIf(leaves));
   }
 
   public synchronized void tick() {
@@ -430,6 +368,7 @@
       return;
     }
     partition.peers.values().forEach(join -> tickJoin(partition, join, nowUs));
+    receipts.tick(partition);
     if (partition.pending.isEmpty()
         && partition.lowTold < partition.seq
         && nowUs - partition.spokeUs > LULL_US) {
@@ -469,7 +408,7 @@
     return silentUs > LOST_US || nowUs - Math.max(sinceUs, awakeSinceUs) > OVERDUE_US;
   }
 
-  private void tickJoin(Partition partition, Joining join, long nowUs) {
+  private void tickJoin(Partition partition, JoiningReplica join, long nowUs) {
     if (join.level && join.node.equals(partition.place.joining())) {
       report(
           Frame.of("line.level")
@@ -530,7 +469,7 @@
     }
     if (!place.has(id)) {
       partition.member = false;
-      if (place.whole() && !partition.messages.isEmpty()) {
+      if (place.whole() && !partition.records().isEmpty()) {
         forget(partition);
         journal.append(Frame.of("f").with("line", partition.number).pack(), () -> {});
       }
@@ -560,8 +499,7 @@
     partition.peers.clear();
     partition.orders.clear();
     partition
-        .messages
-        .values()
+        .messages()
         .forEach(
             message -> {
               if (message.settling
@@ -580,14 +518,13 @@
               message.settling = false;
               message.doubted = false;
               message.settleWaiters.clear();
-              var waiters = List.copyOf(message.keptWaiters);
               message.keptWaiters.clear();
-              waiters.forEach(waiter -> waiter.accept(false));
+              message.claim = Optional.empty();
+              message.stored = false;
             });
-    dispatchers
-        .values()
-        .forEach(
-            dispatcher -> dispatcher.removeIf(message -> message.partition == partition.number));
+    partition.claiming.clear();
+    partition.receipts.all().forEach(Receipt::dropWaiters);
+    removeFromDispatchers(message -> message.partition == partition.number);
   }
 
   private void open(Partition partition) {
@@ -596,18 +533,26 @@
     var wasMember = partition.member;
     partition.member = true;
     var nowUs = clusterLease.coreUs();
-    var ordered = new ArrayList<>(partition.messages.values());
+    var ordered = new ArrayList<>(partition.messages());
     ordered.sort((a, b) -> Long.compare(a.number, b.number));
     var unsure =
         new HashSet<>(
-            ordered.stream().filter(message -> wasMember && message.seq > partition.low).toList());
+            ordered.stream()
+                .filter(message -> wasMember && message.sequence > partition.low)
+                .toList());
     partition.comparing =
         !wasMember && partition.place.whole() && !partition.place.backups().isEmpty();
     partition.seq = Math.max(partition.seq, partition.epoch << 32);
+    receipts.claimAgain(partition);
     for (var message : ordered) {
-      message.kept = !unsure.contains(message) && !partition.comparing;
+      message.stored = !unsure.contains(message) && !partition.comparing;
+      message.kept = message.stored && message.claim.isEmpty();
+      message.unlisted = false;
       message.settling = unsure.contains(message);
-      message.rev = message.settling ? Math.max(message.rev, partition.epoch << 20) : message.rev;
+      message.revision =
+          message.settling
+              ? Math.max(message.revision, partition.epoch << Partition.REVISION_BITS)
+              : message.revision;
       message.doubted = partition.comparing;
       if (message.waiting()) {
         enlist(partition, message);
@@ -633,12 +578,12 @@
                     message::whole,
                     true,
                     () -> {
-                      message.kept |= partition.whole();
                       message.settling = false;
                       keptNow(partition, message);
                       runSettleWaiters(message);
                       arrange(partition, message);
                     }));
+    openReceipts(partition, wasMember);
     dispatchers
         .values()
         .forEach(
@@ -648,6 +593,19 @@
             });
   }
 
+  private void openReceipts(Partition partition, boolean wasMember) {
+    for (var receipt : List.copyOf(partition.receipts.all())) {
+      if (wasMember && receipt.sequence > partition.low) {
+        receipt.revision = Math.max(receipt.revision, partition.epoch << Partition.REVISION_BITS);
+        receipts.store(partition, receipt);
+      } else if (partition.comparing) {
+        receipt.changing();
+      } else {
+        receipt.settle();
+      }
+    }
+  }
+
   private long attemptTimeUs(Message message) {
     var path = clusterLease.configuration().path(message.host, message.target);
     var pulled =
@@ -707,10 +665,11 @@
 
   private void compared(Partition partition) {
     partition.comparing = false;
-    for (var message : List.copyOf(partition.messages.values())) {
+    for (var message : List.copyOf(partition.messages())) {
       if (message.doubted) {
         message.doubted = false;
-        message.kept |= partition.whole();
+        message.stored |= partition.whole();
+        message.kept |= partition.whole() && message.claim.isEmpty();
         if (message.kept) {
           flushWaiters(message);
         }
@@ -721,10 +680,13 @@
         arrange(partition, message);
       }
     }
+    if (partition.whole()) {
+      partition.receipts.all().forEach(Receipt::settle);
+    }
   }
 
   private void meet(Partition partition, String node) {
-    var join = new Joining(node, partition.place.epoch(), clock.steadyUs());
+    var join = new JoiningReplica(node, partition.place.epoch(), clock.steadyUs());
     partition.peers.put(node, join);
     if (partition.place.epoch() == 1) {
       join.spoken = true;
@@ -735,22 +697,30 @@
   }
 
   private void keepAll(Partition partition) {
-    for (var message : List.copyOf(partition.messages.values())) {
+    for (var message : List.copyOf(partition.messages())) {
       if (message.kept) {
         flushWaiters(message);
       } else {
         replicate(partition, message, message::whole, true, () -> keptNow(partition, message));
       }
     }
+    partition.receipts.all().stream()
+        .filter(receipt -> !receipt.stored())
+        .toList()
+        .forEach(receipt -> receipts.store(partition, receipt));
   }
 
   private void flushWaiters(Message message) {
+    tellPutWaiters(message, PutOutcome.kept(message));
+  }
+
+  private static void tellPutWaiters(Message message, PutOutcome outcome) {
     var waiters = List.copyOf(message.keptWaiters);
     message.keptWaiters.clear();
-    waiters.forEach(waiter -> waiter.accept(true));
+    waiters.forEach(waiter -> waiter.accept(outcome));
   }
 
-  private void askJoin(Partition partition, Joining join) {
+  private void askJoin(Partition partition, JoiningReplica join) {
     join.asked = true;
     join.askedUs = clock.steadyUs();
     send(
@@ -766,27 +736,42 @@
   }
 
   private void replicate(
-      Partition partition, Message message, Supplier<Frame> record, boolean sync, Runnable then) {
+      Partition partition,
+      ReplicatedRecord record,
+      Supplier<Frame> change,
+      boolean sync,
+      Runnable then) {
     partition.peers.values().stream()
-        .filter(join -> join.missing.contains(message))
+        .filter(join -> join.missing.contains(record))
         .toList()
-        .forEach(join -> handOver(partition, join, message));
-    var pending = new Pending(++partition.seq, record, sync, then, clock.steadyUs());
-    partition.pending.put(pending.seq, pending);
-    message.seq = pending.seq;
-    message.epoch = partition.place.epoch();
+        .forEach(join -> handOver(partition, join, record));
+    var pending = new PendingRecord(++partition.seq, change, sync, then, clock.steadyUs());
+    record.sequence = pending.sequence;
+    record.epoch = partition.place.epoch();
+    sendToCopies(partition, pending);
+  }
+
+  /** Runs the task once every copy has confirmed that this node still is the primary. */
+  private void confirmPrimary(Partition partition, Runnable then) {
+    Supplier<Frame> barrier = () -> Frame.of(BARRIER);
+    sendToCopies(
+        partition, new PendingRecord(++partition.seq, barrier, false, then, clock.steadyUs()));
+  }
+
+  private void sendToCopies(Partition partition, PendingRecord pending) {
+    partition.pending.put(pending.sequence, pending);
     pending.owing.addAll(partition.place.backups());
     partition.peers.values().stream()
         .filter(join -> join.spoken)
         .forEach(join -> pending.owing.add(join.node));
     pending.owing.forEach(node -> sendRep(partition, pending, node));
-    if (!sync) {
+    if (!pending.sync) {
       pending.local = true;
       settle(partition, pending);
       return;
     }
     journal.append(
-        record.get().pack(),
+        pending.record.get().pack(),
         () -> {
           synchronized (this) {
             pending.local = true;
@@ -795,15 +780,15 @@
         });
   }
 
-  private void sendRep(Partition partition, Pending pending, String node) {
+  private void sendRep(Partition partition, PendingRecord pending, String node) {
     send(
         node,
         Frame.of("rep")
             .with("l", partition.number)
             .with("e", partition.place.epoch())
-            .with("s", pending.seq)
+            .with("s", pending.sequence)
             .with("y", pending.sync)
-            .with("w", pending.seq - low(partition))
+            .with("w", pending.sequence - low(partition))
             .with("c", pending.record.get()));
     partition.lowTold = low(partition);
     partition.spokeUs = clock.steadyUs();
@@ -832,8 +817,10 @@
     }
   }
 
-  private void settle(Partition partition, Pending pending) {
-    if (pending.local && pending.owing.isEmpty() && partition.pending.remove(pending.seq) != null) {
+  private void settle(Partition partition, PendingRecord pending) {
+    if (pending.local
+        && pending.owing.isEmpty()
+        && partition.pending.remove(pending.sequence) != null) {
       pending.then.run();
     }
   }
@@ -866,6 +853,8 @@
                   Math.floorMod(frame.small("ended"), StepDependencies.Ended.values().length)]);
       case "steps.read" -> onStepsRead(from, frame);
       case "steps.order" -> onStepsOrder(from, frame);
+      case "receipt.claim", "receipt.verdict", "receipt.ask", "receipt.told" ->
+          onReceiptMessage(from, frame);
       case "history.keep" -> history.keep(frame);
       case "history.ask" -> wire.send(from, history.answer(frame));
       case "watch.ask" ->
@@ -924,13 +913,13 @@
       record.with("ep", epoch);
     }
     partition.seq = Math.max(partition.seq, seq);
-    var message = upsert(partition, record);
-    if (message.isEmpty() && record.small("st") == Message.State.WAITING.ordinal()) {
+    var taken = take(partition, record);
+    if (taken.isEmpty() && needsItsWhole(record)) {
       wire.send(from, answer.with("why", "unjoined"));
       return;
     }
     partition.low = Math.max(partition.low, seq - frame.number("w"));
-    message.ifPresent(each -> each.seq = Math.max(each.seq, seq));
+    taken.ifPresent(each -> each.sequence = Math.max(each.sequence, seq));
     var ok = Frame.of("ok").with("l", partition.number).with("s", seq);
     if (frame.flag("y")) {
       journal.append(record.pack(), () -> wire.send(from, ok));
@@ -939,6 +928,26 @@
     }
   }
 
+  /** Takes a record that the primary sent into this copy; empty if nothing of it is held now. */
+  private Optional<? extends ReplicatedRecord> take(Partition partition, Frame record) {
+    switch (record.kind()) {
+      case "m", "u":
+        return upsert(partition, record);
+      case Receipt.KIND:
+        return Optional.of(partition.receipts.take(record));
+      case Message.REMOVAL:
+        drop(partition, record.text("id"));
+        return Optional.empty();
+      default:
+        return Optional.empty();
+    }
+  }
+
+  /** Whether the record only changes a message that this copy ought to hold. */
+  private static boolean needsItsWhole(Frame record) {
+    return record.kind().equals("u") && record.small("st") == Message.State.WAITING.ordinal();
+  }
+
   private void onRepOk(String from, Frame frame) {
     var partition = partition(frame.small("l"));
     var pending = partition.pending.get(frame.number("s"));
@@ -986,8 +995,7 @@
     partition.low = 0;
     var have = new ArrayList<Object>();
     partition
-        .messages
-        .values()
+        .messages()
         .forEach(
             message ->
                 have.add(
@@ -998,6 +1006,11 @@
                         .with("state", message.state.ordinal())
                         .with("w", message.endedByWorker)
                         .with("nb", message.body.length == 0)));
+    partition
+        .receipts
+        .all()
+        .forEach(
+            receipt -> have.add(new Frame().with("id", receipt.id()).with("v", receipt.version())));
     var answer =
         Frame.of("join.have")
             .with("line", partition.number)
@@ -1032,10 +1045,11 @@
       if (each.flag("nb") || each.small("state") == Message.State.FINISHED.ordinal()) {
         join.bodiless.add(each.text("id"));
       }
-      var known = partition.messages.get(each.text("id"));
-      if (known == null) {
+      var known = partition.messageOrNull(each.text("id"));
+      if (partition.record(each.text("id")).isEmpty()) {
         extra.add(each.text("id"));
-      } else if (known.waiting()
+      } else if (known != null
+          && known.waiting()
           && !each.flag("w")
           && each.small("state") == Message.State.FINISHED.ordinal()
           && !known.settling) {
@@ -1049,48 +1063,50 @@
             .with("epoch", partition.place.epoch())
             .with("ids", extra));
     heardUs.put(clusterLease.view().ipOf(join.node), clock.steadyUs());
-    for (var message : partition.messages.values()) {
-      var theirs = have.get(message.id);
-      if (theirs == null
-          || !theirs.equals(message.version())
-          || message.waiting() && !message.lease.isEmpty()) {
-        if (theirs != null && !theirs.equals(message.version())) {
-          message.epoch = partition.place.epoch();
-          message.rev = Math.max(message.rev, partition.epoch << 20);
-        }
-        join.missing.add(message);
-      }
-      if (theirs == null) {
-        join.absent.add(message.id);
-      }
+    for (var record : partition.records()) {
+      compare(partition, join, record, Optional.ofNullable(have.get(record.id())));
     }
     join.owed = 1;
     levelled(partition, join);
   }
 
-  private void handOver(Partition partition, Joining join, Message message) {
-    join.missing.remove(message);
-    if (partition.messages.get(message.id) != message) {
+  private static void compare(
+      Partition partition,
+      JoiningReplica join,
+      ReplicatedRecord record,
+      Optional<String> theirVersion) {
+    if (theirVersion.isEmpty()) {
+      join.absent.add(record.id());
+    }
+    if (theirVersion.filter(record.version()::equals).isPresent() && !record.mayLag()) {
+      return;
+    }
+    if (theirVersion.isPresent() && !theirVersion.get().equals(record.version())) {
+      record.epoch = partition.place.epoch();
+      record.revision = Math.max(record.revision, partition.epoch << Partition.REVISION_BITS);
+    }
+    join.missing.add(record);
+  }
+
+  private void handOver(Partition partition, JoiningReplica join, ReplicatedRecord record) {
+    join.missing.remove(record);
+    if (!partition.holds(record)) {
       return;
     }
     join.owed++;
-    var absent = join.absent.contains(message.id);
-    var bodiless = join.bodiless.contains(message.id);
-    Supplier<Frame> record =
-        () ->
-            absent || bodiless && message.state != Message.State.FINISHED
-                ? message.whole()
-                : message.change();
+    var absent = join.absent.contains(record.id());
+    var bodiless = join.bodiless.contains(record.id());
+    Supplier<Frame> transfer = () -> record.transfer(absent, bodiless);
     var pending =
-        new Pending(
-            ++partition.seq, record, true, () -> levelled(partition, join), clock.steadyUs());
+        new PendingRecord(
+            ++partition.seq, transfer, true, () -> levelled(partition, join), clock.steadyUs());
     pending.local = true;
     pending.owing.add(join.node);
-    partition.pending.put(pending.seq, pending);
+    partition.pending.put(pending.sequence, pending);
     sendRep(partition, pending, join.node);
   }
 
-  private void levelled(Partition partition, Joining join) {
+  private void levelled(Partition partition, JoiningReplica join) {
     join.owed--;
     if (partition.peers.get(join.node) != join) {
       return;
@@ -1115,72 +1131,123 @@
     if (frame.number("epoch") < partition.epoch || partition.open) {
       return;
     }
-    frame
-        .texts("ids")
-        .forEach(
-            each ->
-                Optional.ofNullable(partition.messages.remove(each))
-                    .ifPresent(
-                        old -> {
-                          liveBytes -= old.body.length;
-                          journal.append(
-                              Frame.of("x").with("line", partition.number).with("id", each).pack(),
-                              () -> {});
-                        }));
+    for (var recordId : frame.texts("ids")) {
+      if (drop(partition, recordId)) {
+        journal.append(Message.removal(partition.number, recordId).pack(), () -> {});
+      }
+    }
   }
 
   private void onPut(String from, Frame frame) {
     var partition = partition(frame.small("l"));
-    var rid = frame.number("rid");
-    var known = partition.messages.get(frame.text("i"));
-    if (!partition.open
-        || known != null && !known.isHandInOf(frame)
-        || known == null
-            && (!partition.whole()
-                || leaving && !partition.place.primary().equals(id)
-                || liveBytes > LIVE_BYTES_MOST
-                || liveMessages() > MESSAGES_MOST)) {
-      wire.send(from, Frame.of("put.ok").with("rid", rid).with("r", "no"));
-      return;
+    var requestNumber = frame.number("rid");
+    var known = partition.open ? earlierTry(partition, frame) : Optional.<Message>empty();
+    if (known.isPresent()) {
+      answerRepeat(partition, known.get(), from, frame);
+    } else if (!partition.open || !takesNew(partition)) {
+      wire.send(from, PutOutcome.NOT_TAKEN.toFrame(requestNumber));
+    } else {
+      takeNew(partition, from, frame);
     }
-    if (known != null) {
-      answerPut(partition, known, from, rid);
-      return;
+  }
+
+  /** The message that this try, or another one with its key, has made. */
+  private static Optional<Message> earlierTry(Partition partition, Frame handIn) {
+    var sameName = partition.message(handIn.text("i"));
+    if (sameName.isPresent() || handIn.text("ik").isEmpty()) {
+      return sameName;
     }
+    var digest = RequestDigest.read(handIn.bytes("dg"));
+    var underKey = partition.underKey(handIn.text("t"), handIn.text("ik"));
+    return underKey.stream()
+        .filter(message -> message.digest.equals(digest))
+        .findFirst()
+        .or(
+            () ->
+                underKey.stream()
+                    .filter(message -> message.service.equals(handIn.text("sv")))
+                    .findFirst());
+  }
+
+  private boolean takesNew(Partition partition) {
+    return partition.whole()
+        && !(leaving && !partition.place.primary().equals(id))
+        && liveBytes <= LIVE_BYTES_MOST
+        && liveMessages() <= MESSAGES_MOST;
+  }
+
+  private void answerRepeat(Partition partition, Message known, String from, Frame handIn) {
+    var requestNumber = handIn.number("rid");
+    var sameKey = known.keyed() && known.isUnderKeyOf(handIn);
+    if (sameKey && known.isRequestOf(handIn) || known.isHandInOf(handIn)) {
+      answerPut(partition, known, from, requestNumber);
+    } else if (!sameKey) {
+      wire.send(from, PutOutcome.NOT_TAKEN.toFrame(requestNumber));
+    } else if (known.kept) {
+      wire.send(from, PutOutcome.REUSED.toFrame(requestNumber));
+    }
+  }
+
+  private void takeNew(Partition partition, String from, Frame handIn) {
+    var requestNumber = handIn.number("rid");
     var nowUs = clusterLease.coreUs();
-    frame
-        .with("v", partition.epoch << 20)
-        .with("n", ++partition.lastNumber)
-        .with("a", nowUs)
-        .with("d", nowUs + frame.number("delay"))
-        .with("x", nowUs + frame.number("keep"));
-    var message = new Message(frame);
-    partition.messages.put(message.id, message);
+    var message = newMessage(partition, handIn, nowUs);
+    var claims = ReceiptCoordinator.homeIsElsewhere(message);
+    if (message.keyed() && !claims) {
+      var decision = receipts.decide(partition, message);
+      if (decision instanceof ReceiptCoordinator.Decision.Answer answer) {
+        wire.send(from, answer.outcome().toFrame(requestNumber));
+      }
+      if (!(decision instanceof ReceiptCoordinator.Decision.Take)) {
+        return;
+      }
+    }
+    message.number = ++partition.lastNumber;
+    partition.add(message);
     liveBytes += message.body.length;
     message.nextUs = message.dueUs;
+    if (claims) {
+      message.unlisted = true;
+      receipts.claim(partition, message);
+    } else {
+      list(partition, message);
+    }
+    answerPut(partition, message, from, requestNumber);
+    replicate(partition, message, message::whole, true, () -> keptNow(partition, message));
+  }
+
+  private static Message newMessage(Partition partition, Frame handIn, long nowUs) {
+    return new Message(
+        handIn
+            .with("v", partition.epoch << Partition.REVISION_BITS)
+            .with("a", nowUs)
+            .with("d", nowUs + handIn.number("delay"))
+            .with("x", nowUs + handIn.number("keep")));
+  }
+
+  /** Gives a new message its place in its order and counts its arrival. */
+  private void list(Partition partition, Message message) {
+    message.unlisted = false;
+    enlist(partition, message);
     if (history.enabled()) {
       history.arrived(message.tenant, serviceOf(message), message.dueUs);
     }
-    enlist(partition, message);
-    answerPut(partition, message, from, rid);
-    replicate(partition, message, message::whole, true, () -> keptNow(partition, message));
   }
 
-  private void answerPut(Partition partition, Message message, String from, long rid) {
+  private void answerPut(Partition partition, Message message, String from, long requestNumber) {
     if (message.kept && partition.whole()) {
-      wire.send(from, Frame.of("put.ok").with("rid", rid).with("r", "kept"));
-      return;
+      wire.send(from, PutOutcome.kept(message).toFrame(requestNumber));
+    } else {
+      message.keptWaiters.add(outcome -> wire.send(from, outcome.toFrame(requestNumber)));
     }
-    message.keptWaiters.add(
-        kept -> {
-          if (kept) {
-            wire.send(from, Frame.of("put.ok").with("rid", rid).with("r", "kept"));
-          }
-        });
   }
 
   private void keptNow(Partition partition, Message message) {
-    if (!partition.whole()) {
+    if (!partition.whole() || message.withdrawn) {
+      return;
+    }
+    message.stored = true;
+    if (message.claim.isPresent()) {
       return;
     }
     message.kept = true;
@@ -1188,11 +1255,96 @@
     arrange(partition, message);
   }
 
+  private void keyGranted(Partition partition, Message message) {
+    if (message.unlisted) {
+      list(partition, message);
+    } else {
+      arrange(partition, message);
+    }
+    if (message.stored) {
+      keptNow(partition, message);
+    }
+  }
+
+  /** Takes back a message that was never confirmed: its key belongs to another one. */
+  private void withdraw(Partition partition, Message message, PutOutcome outcome) {
+    message.withdrawn = true;
+    message.stamp++;
+    drop(partition, message.id);
+    replicate(partition, message, message::whole, true, () -> {});
+    nextInOrder(partition, message);
+    tellPutWaiters(message, outcome);
+  }
+
+  private void onReceiptMessage(String from, Frame frame) {
+    try {
+      receipts.onFrame(from, frame);
+    } catch (MalformedMessageException e) {
+      LOG.log(System.Logger.Level.WARNING, "skips a message of " + from + ": " + e.getMessage());
+    }
+  }
+
+  private ReceiptCoordinator.Partitions partitionAccess() {
+    return new ReceiptCoordinator.Partitions() {
+      @Override
+      public Partition partition(int number) {
+        return StorageNode.this.partition(number);
+      }
+
+      @Override
+      public void sendToPrimary(int partition, Frame frame) {
+        clusterLease
+            .partition(partition)
+            .ifPresent(place -> StorageNode.this.send(place.primary(), frame));
+      }
+
+      @Override
+      public void send(String ip, Frame frame) {
+        wire.send(ip, frame);
+      }
+
+      @Override
+      public void replicate(
+          Partition partition,
+          ReplicatedRecord record,
+          Supplier<Frame> change,
+          boolean sync,
+          Runnable then) {
+        StorageNode.this.replicate(partition, record, change, sync, then);
+      }
+
+      @Override
+      public void confirmPrimary(Partition partition, Runnable then) {
+        StorageNode.this.confirmPrimary(partition, then);
+      }
+
+      @Override
+      public void keyGranted(Partition partition, Message message) {
+        StorageNode.this.keyGranted(partition, message);
+      }
+
+      @Override
+      public void withdraw(Partition partition, Message message, PutOutcome outcome) {
+        StorageNode.this.withdraw(partition, message, outcome);
+      }
+
+      @Override
+      public int receipts() {
+        return partitions.values().stream().mapToInt(each -> each.receipts.size()).sum();
+      }
+
+      @Override
+      public long coreUs() {
+        return clusterLease.coreUs();
+      }
+    };
+  }
+
   private void onLook(String from, Frame frame) {
     var answer = Frame.of("look.ok").with("rid", frame.number("rid"));
     var found =
         frame.small("line") >= 0
-            ? Optional.ofNullable(partition(frame.small("line")).messages.get(frame.text("id")))
+            ? Optional.ofNullable(partition(frame.small("line")).messageOrNull(frame.text("id")))
             : anywhere(frame.text("id"));
     var seen =
         found.filter(
@@ -1234,7 +1386,7 @@
   private Optional<Message> anywhere(String wanted) {
     Optional<Message> found = Optional.empty();
     for (var partition : partitions.values()) {
-      var message = partition.messages.get(wanted);
+      var message = partition.messageOrNull(wanted);
       if (message != null && (partition.open || found.isEmpty())) {
         found = Optional.of(message);
       }
@@ -1243,7 +1395,7 @@
   }
 
   private static boolean present(Partition partition, Message message) {
-    return partition.messages.get(message.id) == message;
+    return partition.messageOrNull(message.id) == message;
   }
 
   private void arrange(Partition partition, Message message) {
@@ -1253,6 +1405,7 @@
         || message.running
         || message.queued
         || message.settling
+        || message.claim.isPresent()
         || message.doubted) {
       return;
     }
@@ -1300,7 +1453,7 @@
             .filter(each -> each != null && each.open);
     return partition.isEmpty()
         ? StepDependencies.Ended.NOT_YET
-        : ended(partition.get().messages.get(StepDependencies.idOf(step)));
+        : ended(partition.get().messageOrNull(StepDependencies.idOf(step)));
   }
 
   private static StepDependencies.Ended ended(Message message) {
@@ -1317,7 +1470,7 @@
 
   private void stepEnded(
       Partition partition, Message message, String step, StepDependencies.Ended ended) {
-    message.rev++;
+    message.revision++;
     if (ended == StepDependencies.Ended.WELL) {
       message.after = message.after.stream().filter(each -> !each.equals(step)).toList();
       message.freedUs = clusterLease.coreUs();
@@ -1352,7 +1505,7 @@
     if (partition.isEmpty()) {
       return;
     }
-    var ended = ended(partition.get().messages.get(StepDependencies.idOf(step)));
+    var ended = ended(partition.get().messageOrNull(StepDependencies.idOf(step)));
     if (ended == StepDependencies.Ended.NOT_YET) {
       steps.subscribe(step, from);
     } else {
@@ -1411,7 +1564,7 @@
                             .isPresent()
                         ? StepDependencies.idOf(asked)
                         : asked;
-                Optional.ofNullable(partition.messages.get(id))
+                Optional.ofNullable(partition.messageOrNull(id))
                     .ifPresent(
                         message -> {
                           rows.add(stepRow(partition, message, "", ""));
@@ -1425,7 +1578,7 @@
                                               StepDependencies.name(message),
                                               "order")));
                         });
-                partition.messages.values().stream()
+                partition.messages().stream()
                     .filter(
                         later ->
                             later.waiting()
@@ -1454,7 +1607,7 @@
       if (!partition.open) {
         continue;
       }
-      for (var message : partition.messages.values()) {
+      for (var message : partition.messages()) {
         if (message.waiting()
             && !message.lastOutcome.isEmpty()
             && (steps.relied(StepDependencies.name(message))
@@ -1531,7 +1684,7 @@
         StepDependencies.partitionOf(step)
             .map(partitions::get)
             .filter(each -> each != null && each.open);
-    var message = partition.map(each -> each.messages.get(StepDependencies.idOf(step)));
+    var message = partition.map(each -> each.messageOrNull(StepDependencies.idOf(step)));
     if (message.isEmpty() || !message.get().waiting()) {
       wire.send(from, answer.with("r", partition.isPresent() ? "none" : "elsewhere"));
     } else if (message.get().after.isEmpty() && message.get().heldBy.isEmpty()) {
@@ -1553,7 +1706,7 @@
     message.after = List.of();
     message.heldBy = "";
     message.freedUs = clusterLease.coreUs();
-    message.rev++;
+    message.revision++;
     replicate(
         partition,
         message,
@@ -1848,7 +2001,7 @@
     var partition = partition(message.partition);
     message.running = true;
     message.attempt++;
-    message.rev++;
+    message.revision++;
     message.lease = partition.number + "." + partition.place.epoch() + "." + message.attempt;
     message.untilUs = clusterLease.coreUs() + runUs;
     var lease = message.lease;
@@ -1930,7 +2083,7 @@
 
   private void onGiveBack(Frame frame) {
     var partition = partition(frame.small("line"));
-    var message = partition.messages.get(frame.text("id"));
+    var message = partition.messageOrNull(frame.text("id"));
     if (partition.open
         && message != null
         && message.running
@@ -1946,7 +2099,7 @@
   private void unrun(Partition partition, Message message, long waitUs) {
     message.running = false;
     message.endedLease = message.lease;
-    message.rev++;
+    message.revision++;
     message.nextUs = clusterLease.coreUs() + waitUs;
     replicate(partition, message, message::change, false, () -> {});
     arrange(partition, message);
@@ -2126,7 +2279,7 @@
       orphan(partition, told, lease, outcome.result(), outcome.seal());
       return;
     }
-    var message = partition.messages.getOrDefault(told.id, told);
+    var message = partition.message(told.id).orElse(told);
     if (!message.lease.equals(lease) || !message.waiting() || message.endedLease.equals(lease)) {
       return;
     }
@@ -2170,8 +2323,10 @@
               .with("id", message.id)
               .with("lease", lease)
               .with("result", result.ordinal())
-              .with("seal", seal);
-      partition.orphans.put(message.id, new Orphan(outcome, clock.steadyUs() + ORPHAN_US));
+              .with("seal", seal)
+              .with("es", SettledLease.pack(message.settledUnder(lease)));
+      partition.orphans.put(
+          message.id, new Partition.UnownedOutcome(outcome, clock.steadyUs() + ORPHAN_US));
       bringHome(partition);
     }
   }
@@ -2191,7 +2346,7 @@
     if (!partition.open) {
       return;
     }
-    var message = partition.messages.get(frame.text("id"));
+    var message = partition.messageOrNull(frame.text("id"));
     if (message != null && message.doubted) {
       return;
     }
@@ -2214,6 +2369,7 @@
     }
     message.running = true;
     message.stamp++;
+    SettledLease.unpack(frame.numbers("es")).forEach(message::settles);
     conclude(
         partition,
         message,
@@ -2235,7 +2391,7 @@
             .map(Configuration.Path::tries)
             .orElse(Integer.MAX_VALUE);
     message.fails++;
-    message.rev++;
+    message.revision++;
     if (message.fails >= tries) {
       finish(partition, message, Message.State.FAILED, "", lease, then);
       return;
@@ -2268,7 +2424,7 @@
       String seal,
       String lease,
       Runnable then) {
-    message.rev++;
+    message.revision++;
     if (history.enabled()) {
       history.ended(message.tenant, serviceOf(message), state == Message.State.FINISHED);
     }
@@ -2335,7 +2491,7 @@
   private void onEnd(String from, Frame frame) {
     var partition = partition(frame.small("line"));
     var answer = Frame.of("end.ok").with("rid", frame.number("rid"));
-    var message = partition.messages.get(frame.text("id"));
+    var message = partition.messageOrNull(frame.text("id"));
     if (!partition.open
         || Message.epochOf(frame.text("lease")) > partition.epoch
         || message != null && message.doubted && !message.endedLease.equals(frame.text("lease"))) {
@@ -2344,7 +2500,15 @@
     }
     var lease = frame.text("lease");
     recognise(partition, message, lease);
-    if (message == null || lease.isEmpty() || !message.lease.equals(lease)) {
+    var end = SettledLease.of(lease, frame.small("result"), frame.text("seal"));
+    var settled = Optional.ofNullable(message).flatMap(each -> each.settlementOf(end));
+    if (settled.isPresent() && !message.lease.equals(lease)) {
+      wire.send(from, answer.with("r", settled.get().equals(end) ? 200 : 409));
+      return;
+    }
+    if (message == null
+        || !message.lease.equals(lease)
+        || settled.filter(each -> !each.equals(end)).isPresent()) {
       wire.send(from, answer.with("r", 409));
       return;
     }
@@ -2372,7 +2536,7 @@
   private void confirm(Partition partition, Message message) {
     if (message.untold) {
       message.untold = false;
-      message.rev++;
+      message.revision++;
       replicate(partition, message, message::change, false, () -> {});
     }
   }
@@ -2395,6 +2559,7 @@
       judged(message, result / 100 != 2 || frame.text("seal").isEmpty());
     }
     message.endedByWorker = result < 400 || result == 422 || result == 500;
+    message.settles(SettledLease.of(lease, result, frame.text("seal")));
     if (result >= 300 || frame.text("seal").isEmpty()) {
       message.notes(
           result == 503 || result == 429 || result == 400
@@ -2416,7 +2581,7 @@
   private void onExtend(String from, Frame frame) {
     var partition = partition(frame.small("line"));
     var answer = Frame.of("end.ok").with("rid", frame.number("rid"));
-    var message = partition.messages.get(frame.text("id"));
+    var message = partition.messageOrNull(frame.text("id"));
     if (!partition.open
         || Message.epochOf(frame.text("lease")) > partition.epoch
         || message != null && message.doubted) {
@@ -2477,7 +2642,7 @@
     var oldUs = clusterLease.coreUs() - options.statusUs() - 10_000_000;
     var nowUs = clusterLease.coreUs();
     for (var partition : partitions.values()) {
-      partition.messages.values().stream()
+      partition.messages().stream()
           .filter(
               message ->
                   message.state == Message.State.FINISHED
@@ -2485,21 +2650,17 @@
                       && !message.doubted
                       && !message.untold
                       && message.body.length > 0
-                      && (partition.open || message.seq <= partition.low))
+                      && (partition.open || message.sequence <= partition.low))
           .forEach(this::shed);
-      partition
-          .messages
-          .values()
-          .removeIf(
-              message -> {
-                var old = !message.waiting() && message.endedUs < oldUs && !message.settling;
-                if (old) {
-                  liveBytes -= message.body.length;
-                }
-                return old;
-              });
+      partition.messages().stream()
+          .filter(message -> !message.waiting() && !message.settling)
+          .filter(message -> message.endedUs < oldUs && !keyCounts(message, nowUs))
+          .map(Message::id)
+          .toList()
+          .forEach(old -> drop(partition, old));
+      partition.receipts.purge(nowUs);
       if (partition.open) {
-        List.copyOf(partition.messages.values()).stream()
+        List.copyOf(partition.messages()).stream()
             .filter(
                 message ->
                     message.waiting()
@@ -2511,6 +2672,11 @@
     }
   }
 
+  /** Whether a repeat of the message's key may still come. */
+  private boolean keyCounts(Message message, long nowUs) {
+    return message.keyed() && nowUs < message.acceptedUs + options.receipts().keepUs();
+  }
+
   private void compact() {
     if (rewriting || journal.bytesLong() < Math.max(LONG_JOURNAL, 2 * rewrittenBytes)) {
       return;
@@ -2518,14 +2684,9 @@
     rewriting = true;
     var records = new ArrayList<byte[]>();
     records.add(Frame.of("disk").with("id", diskId).pack());
-    partitions
-        .values()
-        .forEach(
-            partition ->
-                partition
-                    .messages
-                    .values()
-                    .forEach(message -> records.add(message.whole().pack())));
+    partitions.values().stream()
+        .flatMap(partition -> partition.records().stream())
+        .forEach(record -> records.add(record.whole().pack()));
     rewrittenBytes = records.stream().mapToLong(record -> record.length).sum();
     journal.rewrite(
         records,
@@ -2548,7 +2709,7 @@
   }
 
   public synchronized int liveMessages() {
-    return partitions.values().stream().mapToInt(partition -> partition.messages.size()).sum();
+    return partitions.values().stream().mapToInt(partition -> partition.size()).sum();
   }
 
   public synchronized Map<Integer, Long> openEpochs() {
--- a/src/main/java/wellwheel/runtime/ResultCode.java
+++ b/src/main/java/wellwheel/runtime/ResultCode.java
@@ -18,6 +18,8 @@
   OVER_QUOTA(2011, 429, "over the tenant's or the channel's limit"),
   NO_STEP(2012, 400, "Runs-After names a message that is not accepted here"),
   BAD_STEPS(2013, 400, "Runs-After is not a list of one to eight message names"),
+  BAD_IDEMPOTENCY_KEY(2014, 400, "Operation-Key is not one value of 1 to 256 printable characters"),
+  KEY_REUSED(2015, 409, "the Operation-Key was accepted for another request"),
   NOT_KEPT(3000, 503, "cannot be kept now; it was not taken and will never run"),
   UNSURE(3001, 504, "unknown whether it was kept"),
   NO_CLAIM(3002, 503, "this node holds no fresh lease"),
--- a/src/main/java/wellwheel/transport/Exchange.java
+++ b/src/main/java/wellwheel/transport/Exchange.java
@@ -12,6 +12,11 @@
 
   Optional<String> header(String name);
 
+  /** All values of a header, in the order in which they came. */
+  default List<String> headers(String name) {
+    return header(name).map(List::of).orElse(List.of());
+  }
+
   byte[] body();
 
   void answer(Answer answer);
--- a/src/main/java/wellwheel/transport/HttpServer.java
+++ b/src/main/java/wellwheel/transport/HttpServer.java
@@ -377,6 +377,11 @@
       return Optional.ofNullable(head.headers().get(name));
     }
 
+    @Override
+    public List<String> headers(String name) {
+      return head.headers().getAll(name);
+    }
+
     @Override
     public byte[] body() {
       return body;
--- a/src/test/java/wellwheel/simulation/CopyChecker.java
+++ b/src/test/java/wellwheel/simulation/CopyChecker.java
@@ -91,9 +91,9 @@
 
   private static int number(ByteBuffer buffer) {
     var value = 0;
-    for (var rollout = 0; ; rollout += 7) {
+    for (var bits = 0; ; bits += 7) {
       var next = buffer.get();
-      value |= (next & 0x7F) << rollout;
+      value |= (next & 0x7F) << bits;
       if (next >= 0) {
         return value;
       }
@@ -179,10 +179,10 @@
               .map(disk -> disk.partitions.getOrDefault(partition.number(), Set.of()));
       for (var at = 0; held.isPresent() && at < safe.length; at++) {
         var entry = entries.get(at);
-        if (!held.get().contains(entry.id) && unended(entry)) {
+        if (!held.get().contains(entry.keptId()) && unended(entry)) {
           fault("HOLLOW " + partition + ": " + id + " counts as a copy and lacks " + entry.id);
         }
-        safe[at] += held.get().contains(entry.id) && !lost.contains(node) ? 1 : 0;
+        safe[at] += held.get().contains(entry.keptId()) && !lost.contains(node) ? 1 : 0;
       }
     }
     var least = Math.max(1, survive - lost.size() + 1);
--- a/src/test/java/wellwheel/simulation/HistoryChecker.java
+++ b/src/test/java/wellwheel/simulation/HistoryChecker.java
@@ -28,6 +28,10 @@
     long firstStartUs = Long.MAX_VALUE;
     long endedUs = Long.MAX_VALUE;
     String name = "";
+
+    /** Whether it is asked for by its name only, as any of its tries may have made it. */
+    boolean byNameOnly;
+
     int fails;
     int successes;
     boolean refusedForGood;
@@ -39,6 +43,11 @@
     final Set<String> seals = new HashSet<>();
     final Set<String> endedLeases = new HashSet<>();
 
+    /** The identifier of the accepted message. */
+    String keptId() {
+      return byNameOnly ? name.substring(name.indexOf('-') + 1) : id;
+    }
+
     Entry(String id, String service, String orderKey, long sentUs) {
       this.id = id;
       this.service = service;
@@ -53,6 +62,13 @@
   final List<Long> endpointArrivals = new ArrayList<>();
   final List<String> faults = new ArrayList<>();
   int reruns;
+
+  /** Names of the tries that processors were handed. */
+  final Set<String> startedIds = new HashSet<>();
+
+  /** Names of the tries that were promised never to run. */
+  final Set<String> refusedIds = new HashSet<>();
+
   World world;
   long darkUntilUs;
   double lossShare = 0.01;
@@ -128,6 +144,20 @@
         new ClusterView.Processor("p4", "notice", "10.8.0.4:80", "east", 9, false, 0, "v1"));
   }
 
+  void handedOut(String id) {
+    startedIds.add(id);
+    if (refusedIds.contains(id)) {
+      faults.add("REFUSED " + id + " runs");
+    }
+  }
+
+  void refused(String id) {
+    refusedIds.add(id);
+    if (startedIds.contains(id)) {
+      faults.add("REFUSED " + id + " has run");
+    }
+  }
+
   void starts(Entry entry, long nowUs) {
     if (entry.successes > 0 && !entry.answerLost) {
       reruns++;
@@ -167,6 +197,7 @@
       faults.add("UNASKED " + attempt.id());
       return Optional.empty();
     }
+    handedOut(attempt.id());
     if (entry.successes > 0 && entry.service.equals("book")) {
       return Optional.of(
           new DeliveryClient.Outcome(
--- a/src/test/java/wellwheel/simulation/PartitionsTest.java
+++ b/src/test/java/wellwheel/simulation/PartitionsTest.java
@@ -4,8 +4,6 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.ArrayList;
-import java.util.Collections;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.LongStream;
@@ -18,190 +16,6 @@
 class PartitionsTest {
   private static final long SECOND = Scenario.SECOND;
 
-  private static final class Days {
-    final Scenario play;
-    final CopyChecker copies;
-    final int survive;
-    private Optional<World.Host> retiring = Optional.empty();
-    private int joined;
-    private long untilUs;
-
-    Days(long seed, World.Shape shape) {
-      play = new Scenario(seed, shape);
-      survive = shape.survive();
-      copies = new CopyChecker(play, survive);
-      play.up();
-      if (survive == 1) {
-        join();
-      }
-      copies.run(2 * SECOND);
-      work(60 * SECOND);
-    }
-
-    int random(int most) {
-      return play.world.random().nextInt(most);
-    }
-
-    void join() {
-      play.world.join(
-          "storage-" + (20 + joined++),
-          "storage",
-          List.of("north", "east", "south").get(random(3)));
-    }
-
-    void work(long spanUs) {
-      untilUs = play.world.nowUs() + spanUs;
-      trickle();
-    }
-
-    private void trickle() {
-      if (play.world.nowUs() < untilUs) {
-        play.handIn(
-            play.anyEdge(),
-            random(2) == 0 ? "quote" : "notice",
-            "",
-            "acme",
-            play.key,
-            random(2) == 0 ? 0 : 45_000);
-        play.world.after(20_000 + random(20_000), this::trickle);
-      }
-    }
-
-    List<World.Host> sound() {
-      var lost = copies.lost();
-      var all =
-          new ArrayList<>(
-              play.world.upHosts("storage").stream()
-                  .filter(host -> !lost.contains(host.name))
-                  .toList());
-      Collections.shuffle(all, play.world.random());
-      return all;
-    }
-
-    void harm(World.Host host) {
-      var spanUs = 200_000 + random(2_300_000);
-      switch (random(7)) {
-        case 0 -> wipe(host, 300_000 + random(700_000));
-        case 1 -> replace(host, random(800_000));
-        case 2 -> {
-          copies.loses(host, 600_000);
-          play.world.kill(host);
-        }
-        case 3 -> {
-          copies.loses(host, spanUs);
-          play.world.freeze(host, spanUs);
-        }
-        case 4 -> {
-          copies.loses(host, spanUs);
-          play.world.cutOff(host, spanUs);
-        }
-        case 5 -> {
-          copies.loses(host, spanUs + 300_000);
-          play.world.slowDisk(host, 1_000 + random(3_000));
-          play.world.after(spanUs, () -> play.world.slowDisk(host, 1));
-        }
-        default -> {
-          copies.loses(host, 7 * SECOND);
-          play.world.term(host);
-        }
-      }
-    }
-
-    private void harmControl(int room) {
-      if (room < 1 || random(4) > 0) {
-        return;
-      }
-      var host =
-          play.world
-              .leader()
-              .filter(leader -> random(2) == 0)
-              .orElse(play.world.upHosts("control").get(0));
-      var spanUs = 200_000 + random(2_300_000);
-      copies.loses(host, spanUs + 600_000);
-      switch (random(3)) {
-        case 0 -> play.world.kill(host);
-        case 1 -> play.world.freeze(host, spanUs);
-        default -> play.world.cutOff(host, spanUs);
-      }
-    }
-
-    private void replace(World.Host host, long waitUs) {
-      copies.loses(host, waitUs);
-      drop(host);
-      play.world.after(waitUs, this::join);
-    }
-
-    private void drop(World.Host host) {
-      play.world.remove(host);
-      copies.kept(host, "keeper.journal", true, new byte[0]);
-    }
-
-    void wipe(World.Host host, long darkUs) {
-      copies.loses(host, darkUs);
-      play.powerLost = true;
-      play.world.wipe(host, darkUs);
-    }
-
-    void round() {
-      var room = copies.room();
-      harmControl(room);
-      sound().stream()
-          .limit(Math.max(0, random(4) == 0 ? copies.room() - 1 : copies.room()))
-          .forEach(this::harm);
-      if (random(3) == 0) {
-        order();
-      }
-      if (random(4) == 0) {
-        var late = sound().get(0);
-        play.world.lagNews(late, 20_000 + random(500_000));
-        play.world.after(3 * SECOND, () -> play.world.lagNews(late, 0));
-      }
-      for (var step = 0; step < 40 && (step < 4 || copies.room() < 1 + random(survive)); step++) {
-        copies.run(100_000 + random(100_000));
-        tendRetiring();
-      }
-    }
-
-    private void order() {
-      if (retiring.isPresent() || play.world.leader().isEmpty()) {
-        return;
-      }
-      var host = sound().get(0);
-      var codes = new ArrayList<ResultCode>();
-      play.world.leader().get().control().retire(host.name, reply -> codes.add(reply.code()));
-      copies.run(200_000);
-      if (codes.equals(List.of(ResultCode.FINE))) {
-        retiring = Optional.of(host);
-        join();
-      }
-    }
-
-    private void tendRetiring() {
-      var told = new ArrayList<String>();
-      retiring.ifPresent(
-          host ->
-              play.world
-                  .leader()
-                  .ifPresent(
-                      leader ->
-                          leader
-                              .control()
-                              .retireState(
-                                  host.name, reply -> told.add(new String(reply.body())))));
-      copies.run(20_000);
-      if (told.stream().anyMatch(state -> state.contains("finished"))) {
-        drop(retiring.get());
-        retiring = Optional.empty();
-        sound().stream().limit(copies.room()).forEach(host -> wipe(host, SECOND / 2));
-      }
-    }
-
-    void fine() {
-      assertWithMessage("copies").that(copies.faults).isEmpty();
-      assertWithMessage("checks").that(copies.checked).isAtLeast(30);
-    }
-  }
-
   static LongStream seeds() {
     var span = System.getProperty("lines.seeds", "1-6").split("-");
     return LongStream.rangeClosed(Long.parseLong(span[0]), Long.parseLong(span[1]));
@@ -210,7 +24,7 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void anyAllowedLossLeavesACopy(long seed) {
-    var days = new Days(seed, seed % 2 == 0 ? World.Shape.four() : World.Shape.three());
+    var days = new FaultyDays(seed, seed % 2 == 0 ? World.Shape.four() : World.Shape.three());
     days.copies.run(2 * SECOND);
     for (var round = 0; round < 10 && days.copies.faults.isEmpty(); round++) {
       days.round();
@@ -220,7 +34,7 @@
     knowTheTable(days);
   }
 
-  private static void knowTheTable(Days days) {
+  private static void knowTheTable(FaultyDays days) {
     var table = table(days);
     days.play
         .world
@@ -237,7 +51,7 @@
   @ParameterizedTest
   @ValueSource(longs = {241, 242, 243, 244})
   void whoRestartsWhileTheTableChangesKnowsAllOfIt(long seed) {
-    var days = new Days(seed, World.Shape.four());
+    var days = new FaultyDays(seed, World.Shape.four());
     for (var round = 0; round < 3; round++) {
       days.sound()
           .subList(0, 2)
@@ -252,7 +66,7 @@
     days.fine();
   }
 
-  private static Map<Integer, ClusterView.Partition> table(Days days) {
+  private static Map<Integer, ClusterView.Partition> table(FaultyDays days) {
     return days.play.world.leader().orElseThrow().control().partitions();
   }
 
@@ -263,7 +77,7 @@
   @ParameterizedTest
   @ValueSource(longs = {201, 202, 203, 204})
   void aPrimaryThatWasAwayForAMomentGivesUpNoSoundCopy(long seed) {
-    var days = new Days(seed, seed % 2 == 0 ? World.Shape.four() : World.Shape.three());
+    var days = new FaultyDays(seed, seed % 2 == 0 ? World.Shape.four() : World.Shape.three());
     days.copies.run(3 * SECOND);
     var before = table(days);
     var sick = days.sound().get(0);
@@ -293,7 +107,7 @@
   @ParameterizedTest
   @ValueSource(longs = {211, 212})
   void aRetirementEndsOnlyWhenEveryLineHasAllItsCopiesElsewhere(long seed) {
-    var days = new Days(seed, World.Shape.four());
+    var days = new FaultyDays(seed, World.Shape.four());
     days.copies.run(2 * SECOND);
     var codes = new ArrayList<ResultCode>();
     var goer = days.sound().get(0);
@@ -325,7 +139,7 @@
   @ParameterizedTest
   @ValueSource(longs = {221, 222})
   void aJoiningCopyThatLeavesIsReplacedAtOnce(long seed) {
-    var days = new Days(seed, World.Shape.four());
+    var days = new FaultyDays(seed, World.Shape.four());
     days.copies.run(2 * SECOND);
     var two = days.sound().subList(0, 2);
     var slow = two.get(1);
@@ -350,7 +164,7 @@
   @ParameterizedTest
   @ValueSource(longs = {231, 232})
   void aLineWhoseOnlyCopyIsLostGoesOnFromTheOneThatJoins(long seed) {
-    var days = new Days(seed, World.Shape.three());
+    var days = new FaultyDays(seed, World.Shape.three());
     days.copies.run(3 * SECOND);
     var one = table(days).get((int) seed % 48);
     var two =
@@ -369,7 +183,7 @@
             .orElseThrow();
     days.wipe(
         two.stream().filter(host -> namesIts(alone, host)).findFirst().orElseThrow(), SECOND / 2);
-    days.untilUs = 0;
+    days.stopWork();
     days.play.run(6 * SECOND);
     var told = days.play.states();
     days.play.checker.entries.values().stream()
--- a/src/test/java/wellwheel/simulation/Scenario.java
+++ b/src/test/java/wellwheel/simulation/Scenario.java
@@ -206,6 +206,7 @@
       headers.put(job.headers().get(i), job.headers().get(i + 1));
     }
     var entry = checker.entries.get(headers.get("Attempt-Id"));
+    checker.handedOut(headers.get("Attempt-Id"));
     assertThat(new String(job.body(), StandardCharsets.UTF_8)).isEqualTo("body of " + entry.id);
     assertThat(headers.get("Customer")).isEqualTo(entry.tenant);
     if (version.equals("v2") && checker.onNew(entry) && !checker.newHow.equals("fails")) {
@@ -223,36 +224,92 @@
           if (name.equals(pulledOut)) {
             worker();
           } else {
-            end(
-                entry,
-                headers.get("Lease"),
-                fails ? "500" : "200",
-                "seal-" + headers.get("Lease"),
-                40);
+            var lease = headers.get("Lease");
+            var result = fails ? "500" : "200";
+            end(new JobEnd(entry, headers.get("Attempt-Id"), lease, result, "seal-" + lease), 40);
           }
         });
   }
 
-  void end(HistoryChecker.Entry entry, String lease, String result, String seal, int tries) {
-    entry.doneUs = result.equals("200") ? Math.min(entry.doneUs, world.nowUs()) : entry.doneUs;
-    world.ask(
-        anyEdge(),
-        "POST",
-        "/job-end/" + entry.id,
-        Map.of("Host", "any", "Lease", lease, "Job-Result", result, "Server-Seal", seal),
-        new byte[0],
-        answer -> {
-          var status = answer.map(each -> each.code().status()).orElse(0);
+  /** What a worker says when it ends a job. */
+  record JobEnd(
+      HistoryChecker.Entry entry, String jobId, String lease, String result, String seal) {
+    JobEnd with(String otherResult, String otherSeal) {
+      return new JobEnd(entry, jobId, lease, otherResult, otherSeal);
+    }
+  }
+
+  /** Share of the ends that come again once they have been taken. */
+  double repeatedEnds;
+
+  int endsRepeated;
+  int endsAltered;
+
+  void end(JobEnd end, int tries) {
+    var entry = end.entry();
+    entry.doneUs =
+        end.result().equals("200") ? Math.min(entry.doneUs, world.nowUs()) : entry.doneUs;
+    sendEnd(
+        end,
+        status -> {
           if (status == 200) {
-            ended(entry, lease, result, seal);
+            ended(entry, end.lease(), end.result(), end.seal());
+            repeat(end);
           } else if (status != 409 && tries > 0) {
-            world.after(200_000, () -> end(entry, lease, result, seal, tries - 1));
+            world.after(200_000, () -> end(end, tries - 1));
             return;
           }
           worker();
         });
   }
 
+  private void sendEnd(JobEnd end, Consumer<Integer> told) {
+    var headers =
+        Map.of(
+            "Host",
+            "any",
+            "Lease",
+            end.lease(),
+            "Job-Result",
+            end.result(),
+            "Server-Seal",
+            end.seal());
+    world.ask(
+        anyEdge(),
+        "POST",
+        "/job-end/" + end.jobId(),
+        headers,
+        new byte[0],
+        answer -> told.accept(answer.map(each -> each.code().status()).orElse(0)));
+  }
+
+  private void repeat(JobEnd end) {
+    if (repeatedEnds == 0 || world.random().nextDouble() >= repeatedEnds) {
+      return;
+    }
+    var waitUs = world.random().nextInt(3) == 0 ? 1 : world.random().nextInt(20_000_000);
+    var altered =
+        world.random().nextBoolean()
+            ? end.with(end.result().equals("200") ? "500" : "200", end.seal())
+            : end.with(end.result(), end.seal() + "-other");
+    world.after(waitUs, () -> sendEnd(end, status -> checkRepeat(end, status)));
+    world.after(waitUs + 1_000_000, () -> sendEnd(altered, status -> checkAltered(end, status)));
+  }
+
+  private void checkRepeat(JobEnd end, int status) {
+    endsRepeated += status == 200 ? 1 : 0;
+    if (status != 200 && status != 503 && status != 0) {
+      checker.faults.add("MIXED the end of " + end + " was taken, its repeat got " + status);
+    }
+  }
+
+  private void checkAltered(JobEnd end, int status) {
+    endsAltered += status == 409 ? 1 : 0;
+    if (status == 200) {
+      checker.faults.add("REUSE another end of " + end + " was taken");
+    }
+  }
+
   void ended(HistoryChecker.Entry entry, String lease, String result, String seal) {
     entry.endedLeases.add(lease + " " + result);
     if (result.equals("200")) {
@@ -324,7 +381,7 @@
     world.ask(
         anyEdge(),
         "GET",
-        "/message/" + (world.random().nextBoolean() ? entry.name : entry.id),
+        "/message/" + (entry.byNameOnly || world.random().nextBoolean() ? entry.name : entry.id),
         headers,
         new byte[0],
         answer -> {
