--- a/src/main/java/wellwheel/cli/WellwheelCtl.java
+++ b/src/main/java/wellwheel/cli/WellwheelCtl.java
@@ -284,6 +284,25 @@
     }
   }
 
+  @Command(
+      name = "receipt",
+      description =
+          "What is known of a client's Operation-Key; without one, receipts by storage node.")
+  void receipt(
+      @Parameters(paramLabel = "TENANT", arity = "0..1") String tenant,
+      @Parameters(paramLabel = "SERVICE", arity = "0..1") String service,
+      @Parameters(paramLabel = "KEY", arity = "0..1") String key) {
+    if (tenant != null && key == null) {
+      throw new Failure(USAGE, "receipt TENANT SERVICE KEY, or receipt without words");
+    }
+    if (tenant == null) {
+      table(read("/Receipts.Read"), "Nodes");
+      return;
+    }
+    var query = "?tenant=" + part(tenant) + "&service=" + part(service) + "&key=" + part(key);
+    table(read("/Receipts.Read" + query), "Receipts");
+  }
+
   private void oneStep(JsonObject found) {
     if (json) {
       show(found);
--- a/src/main/java/wellwheel/control/ControlDaemon.java
+++ b/src/main/java/wellwheel/control/ControlDaemon.java
@@ -2,12 +2,14 @@
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import wellwheel.cluster.ClusterView;
 import wellwheel.config.Configuration;
@@ -125,6 +127,7 @@
       case "POST Steps.Release", "POST Steps.Drop" ->
           this.node.decideStep(
               node, segments[1].equals("Steps.Drop"), reply -> answer(exchange, reply));
+      case "GET Receipts.Read" -> receipts(exchange);
       case "GET Shift.Read" -> answer(exchange, this.node.shiftState(node));
       case "POST Shift.Set",
           "POST Shift.Start",
@@ -142,6 +145,17 @@
     }
   }
 
+  private void receipts(Exchange exchange) {
+    var query = new QueryStringDecoder(exchange.target()).parameters();
+    var question =
+        new ReceiptGather.Question(one(query, "tenant"), one(query, "service"), one(query, "key"));
+    this.node.receipts(question, exchange.target(), reply -> answer(exchange, reply));
+  }
+
+  private static String one(Map<String, List<String>> query, String name) {
+    return query.getOrDefault(name, List.of("")).get(0);
+  }
+
   private void history(Exchange exchange) {
     var range = exchange.target().replaceFirst("^[^?]*\\??", "");
     if (!range.matches("from=[0-9]{1,18}&to=[0-9]{1,18}")) {
--- a/src/main/java/wellwheel/control/ControlNode.java
+++ b/src/main/java/wellwheel/control/ControlNode.java
@@ -50,6 +50,10 @@
       return new Reply(code, "", new byte[0]);
     }
 
+    static Reply json(JsonObject root) {
+      return new Reply(ResultCode.FINE, "", root.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
     static Reply of(ResultCode code, String why) {
       return new Reply(code, "", Frames.json(code, why));
     }
@@ -105,6 +109,7 @@
   private final Map<Long, Consumer<Reply>> stepOrders = new HashMap<>();
   private final Map<Long, HistoryGather> gathers = new HashMap<>();
   private long lastGather;
+  private final ReceiptGather receiptGather;
   private final Set<String> shiftPending = new LinkedHashSet<>();
 
   public ControlNode(NodeOptions options, Clock clock, Network wire, Disk disk, long seed) {
@@ -113,6 +118,7 @@
     this.wire = wire;
     coreOffsetUs = clock.wallUs() - clock.steadyUs();
     lastGather = (seed & 0x7fffffffL) << 20;
+    receiptGather = new ReceiptGather(clock, wire, this, lastGather);
     var seeds = options.seeds().stream().map(NodeOptions::hostOf).toList();
     raft =
         new Raft(
@@ -262,6 +268,7 @@
       case "line.reopen" -> onReopen(frame);
       case "watch" -> onWatch(frame);
       case "steps.rows" -> onSteps(from, frame);
+      case "receipts.rows" -> onReceipts(from, frame);
       case "steps.done" -> onStepsDone(frame);
       case "history.rows" -> onHistory(from, frame);
       default -> {}
@@ -643,10 +650,7 @@
   }
 
   private void nextRound(long rid, StepsGather gather) {
-    var ips = new LinkedHashSet<String>();
-    holders.values().stream()
-        .filter(holder -> holder.member.role().equals("storage"))
-        .forEach(holder -> ips.add(holder.member.ip()));
+    var ips = storageIps();
     stepGathers.put(rid, gather);
     var ask = gather.round(rid, ips);
     ips.forEach(ip -> wire.send(ip, ask));
@@ -682,6 +686,30 @@
             });
   }
 
+  /** Tells what is known of a key, or how many receipts each storage node holds. */
+  public void receipts(ReceiptGather.Question question, String target, Consumer<Reply> answer) {
+    var elsewhere = elsewhere(target);
+    if (elsewhere.isPresent()) {
+      answer.accept(elsewhere.get());
+      return;
+    }
+    synchronized (this) {
+      receiptGather.ask(question, storageIps(), answer);
+    }
+  }
+
+  private synchronized void onReceipts(String from, Frame frame) {
+    receiptGather.take(from, frame);
+  }
+
+  private Set<String> storageIps() {
+    var ips = new LinkedHashSet<String>();
+    holders.values().stream()
+        .filter(holder -> holder.member.role().equals("storage"))
+        .forEach(holder -> ips.add(holder.member.ip()));
+    return ips;
+  }
+
   public void decideStep(String step, boolean drop, Consumer<Reply> answer) {
     var elsewhere = elsewhere((drop ? "/Steps.Drop/" : "/Steps.Release/") + step);
     if (elsewhere.isPresent()) {
--- a/src/main/java/wellwheel/queue/StorageNode.java
+++ b/src/main/java/wellwheel/queue/StorageNode.java
@@ -855,6 +855,9 @@
       case "steps.order" -> onStepsOrder(from, frame);
       case "receipt.claim", "receipt.verdict", "receipt.ask", "receipt.told" ->
           onReceiptMessage(from, frame);
+      case "receipts.read" ->
+          wire.send(
+              from, ReceiptQueries.answer(id, partitions.values(), frame, clusterLease.coreUs()));
       case "history.keep" -> history.keep(frame);
       case "history.ask" -> wire.send(from, history.answer(frame));
       case "watch.ask" ->
--- a/src/main/java/wellwheel/receipts/RequestDigest.java
+++ b/src/main/java/wellwheel/receipts/RequestDigest.java
@@ -55,6 +55,11 @@
     return new RequestDigest(buffer.getLong(), buffer.getLong());
   }
 
+  /** The digest as an operator sees it: 32 hexadecimal digits. */
+  public String toText() {
+    return String.format("%016x%016x", high, low);
+  }
+
   /** The digest as 16 bytes. */
   public byte[] toBytes() {
     return ByteBuffer.allocate(BYTES).putLong(high).putLong(low).array();
--- a/src/test/java/wellwheel/cli/ProcessesTest.java
+++ b/src/test/java/wellwheel/cli/ProcessesTest.java
@@ -165,7 +165,7 @@
     processes.add(builder.start());
   }
 
-  private String tender(int wanted, String... words) {
+  private String operator(int wanted, String... words) {
     var out = new StringWriter();
     var err = new StringWriter();
     var all = new ArrayList<>(List.of(words));
@@ -212,7 +212,7 @@
   }
 
   private String state(String id) {
-    return tender(
+    return operator(
         0,
         "message",
         "state",
@@ -246,10 +246,62 @@
         home.resolve("config-" + revision + ".json"), String.format(CONFIG, revision));
   }
 
+  private HttpResponse<String> keyed(String id, String body) throws Exception {
+    return ask(
+        "POST",
+        "/desk/keyed",
+        body,
+        "Host",
+        "wheel.example",
+        "Authorization",
+        "Bearer try-me",
+        "Attempt-Id",
+        id,
+        "Order-Key",
+        "thing",
+        "Operation-Key",
+        "approval-17");
+  }
+
+  @Test
+  void repeatsOfAKeyAreAnsweredAlikeAndLookedUp() throws Exception {
+    start();
+    operator(
+        WellwheelCtl.FINE,
+        "config",
+        "put",
+        config(1).toString(),
+        "--based-on",
+        "0",
+        "--wait-s",
+        "30");
+    var first =
+        Failsafe.with(SOON)
+            .get(
+                () -> {
+                  var answer = keyed("try-1", "approve");
+                  assertThat(answer.statusCode()).isEqualTo(202);
+                  return answer;
+                });
+    var name = first.headers().firstValue("Message-Name").orElseThrow();
+    var again = keyed("try-2", "approve");
+    assertThat(again.statusCode()).isEqualTo(202);
+    assertThat(again.headers().firstValue("Message-Name").orElseThrow()).isEqualTo(name);
+    var reused = keyed("try-3", "reject");
+    assertThat(reused.statusCode()).isEqualTo(409);
+    assertThat(reused.body()).contains("2015");
+    assertThat(operator(WellwheelCtl.FINE, "receipt", "co-op", "desk", "approval-17"))
+        .contains(name);
+    assertThat(operator(WellwheelCtl.UNKNOWN, "receipt", "co-op", "desk", "never"))
+        .contains("nothing is known");
+    assertThat(operator(WellwheelCtl.FINE, "receipt")).contains("storage-1");
+    operator(WellwheelCtl.USAGE, "receipt", "co-op");
+  }
+
   @Test
   void aFirstHandInAndTheOperatorsCalls() throws Exception {
     start();
-    assertThat(tender(WellwheelCtl.FINE, "config", "validate", config(1).toString()))
+    assertThat(operator(WellwheelCtl.FINE, "config", "validate", config(1).toString()))
         .contains("valid");
     var bad =
         Files.writeString(
@@ -257,14 +309,15 @@
             String.format(CONFIG, 1)
                 .replace("\"Backend\":\"pulled\"", "\"Backend\":\"nobody\"")
                 .replace("\"MaxConns\":40", "\"MaxConns\":0"));
-    assertThat(tender(WellwheelCtl.INVALID, "config", "validate", bad.toString()))
+    assertThat(operator(WellwheelCtl.INVALID, "config", "validate", bad.toString()))
         .contains("/Routing/1/Backend");
-    assertThat(tender(WellwheelCtl.INVALID, "config", "validate", bad.toString()))
+    assertThat(operator(WellwheelCtl.INVALID, "config", "validate", bad.toString()))
         .contains("/Backends/1/MaxConns");
-    assertThat(tender(WellwheelCtl.INVALID, "config", "validate", home.resolve("none").toString()))
+    assertThat(
+            operator(WellwheelCtl.INVALID, "config", "validate", home.resolve("none").toString()))
         .contains("cannot read");
     assertThat(
-            tender(
+            operator(
                 WellwheelCtl.FINE,
                 "config",
                 "put",
@@ -274,8 +327,8 @@
                 "--wait-s",
                 "30"))
         .contains("in force");
-    tender(WellwheelCtl.LOST_RACE, "config", "put", config(2).toString(), "--based-on", "7");
-    assertThat(tender(WellwheelCtl.FINE, "config", "diff", config(2).toString()))
+    operator(WellwheelCtl.LOST_RACE, "config", "put", config(2).toString(), "--based-on", "7");
+    assertThat(operator(WellwheelCtl.FINE, "config", "diff", config(2).toString()))
         .contains("~ /Revision 1 -> 2");
     handIn("/pulled/1", "first-1");
     assertThat(state("first-1")).contains("waiting");
@@ -297,7 +350,7 @@
                                 "first-1")
                             .statusCode())
                     .isEqualTo(202));
-    assertThat(tender(WellwheelCtl.FINE, "steps", "first-1")).contains("Runs-After");
+    assertThat(operator(WellwheelCtl.FINE, "steps", "first-1")).contains("Runs-After");
     var job =
         Failsafe.with(SOON)
             .get(
@@ -330,22 +383,23 @@
                   return found;
                 });
     assertThat(next.body()).isEqualTo("body of next-1");
-    assertThat(tender(WellwheelCtl.FINE, "steps", "next-1")).contains("runs at me");
-    assertThat(tender(WellwheelCtl.FINE, "steps", "--failed")).contains("none");
-    tender(WellwheelCtl.UNKNOWN, "steps", "0-nobody", "--release");
-    tender(WellwheelCtl.UNKNOWN, "steps", "nobody");
-    tender(WellwheelCtl.USAGE, "steps");
-    assertThat(tender(WellwheelCtl.FINE, "nodes")).contains("storage-2");
-    assertThat(tender(WellwheelCtl.FINE, "partitions", "--json")).contains("\"Missing\": 0");
-    assertThat(tender(WellwheelCtl.FINE, "warnings")).contains("none");
-    assertThat(tender(WellwheelCtl.FINE, "codes")).contains("3000");
-    assertThat(tender(WellwheelCtl.REFUSED, "retire", "start", "storage-1", "--over", "5"))
+    assertThat(operator(WellwheelCtl.FINE, "steps", "next-1")).contains("runs at me");
+    assertThat(operator(WellwheelCtl.FINE, "steps", "--failed")).contains("none");
+    operator(WellwheelCtl.UNKNOWN, "steps", "0-nobody", "--release");
+    operator(WellwheelCtl.UNKNOWN, "steps", "nobody");
+    operator(WellwheelCtl.USAGE, "steps");
+    assertThat(operator(WellwheelCtl.FINE, "nodes")).contains("storage-2");
+    assertThat(operator(WellwheelCtl.FINE, "partitions", "--json")).contains("\"Missing\": 0");
+    assertThat(operator(WellwheelCtl.FINE, "warnings")).contains("none");
+    assertThat(operator(WellwheelCtl.FINE, "codes")).contains("3000");
+    assertThat(operator(WellwheelCtl.REFUSED, "retire", "start", "storage-1", "--over", "5"))
         .contains("too few");
-    tender(WellwheelCtl.UNKNOWN, "retire", "status", "nobody");
-    tender(WellwheelCtl.UNKNOWN, "rollout", "status", "pulled");
-    tender(WellwheelCtl.UNREACHABLE, "nodes", "--wait-s", "1", "--control", "127.0.0.9:" + control);
-    tender(WellwheelCtl.USAGE, "nodes", "--control", "nonsense");
-    tender(WellwheelCtl.USAGE, "rollout");
+    operator(WellwheelCtl.UNKNOWN, "retire", "status", "nobody");
+    operator(WellwheelCtl.UNKNOWN, "rollout", "status", "pulled");
+    operator(
+        WellwheelCtl.UNREACHABLE, "nodes", "--wait-s", "1", "--control", "127.0.0.9:" + control);
+    operator(WellwheelCtl.USAGE, "nodes", "--control", "nonsense");
+    operator(WellwheelCtl.USAGE, "rollout");
   }
 
   @Test
@@ -354,7 +408,7 @@
     var old = serve(exchange -> handle(exchange, true));
     var faulty = serve(exchange -> handle(exchange, false));
     listed = entry("p-1", old, "v1");
-    tender(
+    operator(
         WellwheelCtl.FINE,
         "config",
         "put",
@@ -367,13 +421,13 @@
         Files.writeString(
             home.resolve("policy.json"),
             "{\"Steps\":[50,100],\"LegsPerStep\":4,\"SecondsPerStep\":0.5,\"Tolerance\":0.2,\"LeastErrors\":2,\"Current\":\"v1\"}");
-    assertThat(tender(WellwheelCtl.FINE, "rollout", "set", "desk", policy.toString()))
+    assertThat(operator(WellwheelCtl.FINE, "rollout", "set", "desk", policy.toString()))
         .contains("Phase: idle");
     listed += "," + entry("p-2", faulty, "v2");
     Failsafe.with(SOON)
         .run(
             () ->
-                assertThat(tender(WellwheelCtl.FINE, "rollout", "status", "desk"))
+                assertThat(operator(WellwheelCtl.FINE, "rollout", "status", "desk"))
                     .contains("Phase: shifting"));
     var handed = new ArrayList<String>();
     Failsafe.with(SOON)
@@ -381,7 +435,7 @@
             () -> {
               handed.add("m" + handed.size());
               handIn("/desk/" + handed.size() % 7, handed.get(handed.size() - 1));
-              assertThat(tender(WellwheelCtl.FINE, "rollout", "status", "desk"))
+              assertThat(operator(WellwheelCtl.FINE, "rollout", "status", "desk"))
                   .contains("Reverted: v2");
             });
     handed.forEach(
--- a/src/test/java/wellwheel/edge/EdgeNodeTest.java
+++ b/src/test/java/wellwheel/edge/EdgeNodeTest.java
@@ -7,9 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import wellwheel.cluster.ClusterView;
 import wellwheel.config.NodeOptions;
+import wellwheel.receipts.IdempotencyKey;
 import wellwheel.runtime.ManualClock;
 import wellwheel.transport.Exchange;
 import wellwheel.transport.Frame;
@@ -128,6 +130,97 @@
     return client;
   }
 
+  private static final String KEY =
+      IntStream.range(0, 10_000)
+          .mapToObj(number -> "key-" + number)
+          .filter(key -> IdempotencyKey.homePartition("t", key) == 0)
+          .findFirst()
+          .orElseThrow();
+
+  private Client keyed(EdgeNode node, String id, String key) {
+    var headers =
+        Map.of("Host", "h", "Authorization", "Bearer k", "Attempt-Id", id, "Operation-Key", key);
+    var client = new Client("POST", "/x", headers);
+    node.onExchange(client);
+    return client;
+  }
+
+  private void answer(EdgeNode node, Sent put, String result, String keptId) {
+    var answer =
+        Frame.of("put.ok")
+            .with("rid", put.frame().number("rid"))
+            .with("r", result)
+            .with("l", 7)
+            .with("i", keptId);
+    node.onFrame(put.ip(), answer);
+  }
+
+  @Test
+  void aRepeatIsToldTheNameOfTheFirstTryAndDoesNotCountAgainstTheLimit() throws Exception {
+    var node = edge(1);
+    for (var number = 0; number < 150; number++) {
+      var client = keyed(node, "try-" + number, KEY);
+      var put = asked("put").get(number);
+      assertThat(put.frame().number("l")).isEqualTo(0);
+      answer(node, put, "kept", "first");
+      assertThat(client.statuses()).containsExactly(202);
+      assertThat(client.answers.get(0).headers()).containsExactly("Message-Name", "7-first");
+    }
+  }
+
+  @Test
+  void runsCountAgainstTheLimit() throws Exception {
+    var node = edge(1);
+    var refused = 0;
+    for (var number = 0; number < 150; number++) {
+      var client = keyed(node, "try-" + number, KEY);
+      if (client.statuses().equals(List.of(429))) {
+        refused++;
+      } else {
+        answer(node, asked("put").get(number - refused), "kept", "try-" + number);
+      }
+    }
+    assertThat(refused).isGreaterThan(30);
+  }
+
+  @Test
+  void anotherRequestUnderAKeyIsRefusedForGood() throws Exception {
+    var node = edge(1);
+    var client = keyed(node, "m1", KEY);
+    answer(node, asked("put").get(0), "reused", "");
+    assertThat(client.statuses()).containsExactly(409);
+  }
+
+  @Test
+  void aKeyThatCannotBeServedReservesNothing() throws Exception {
+    var node = edge(1);
+    for (var bad : List.of("", "two words", "k".repeat(257))) {
+      assertThat(keyed(node, "m1", bad).statuses()).containsExactly(400);
+    }
+    assertThat(asked("put")).isEmpty();
+  }
+
+  @Test
+  void theWaitIsBoundedFromArrivalAndNotDispatchedMeansRefused() throws Exception {
+    var node = edge(1);
+    var dispatched = keyed(node, "m1", KEY);
+    var homeless =
+        IntStream.range(0, 10_000)
+            .mapToObj(number -> "key-" + number)
+            .filter(key -> IdempotencyKey.homePartition("t", key) == 5)
+            .findFirst()
+            .orElseThrow();
+    var undispatched = keyed(node, "m2", homeless);
+    for (var step = 0; step < 30; step++) {
+      clock.nowUs += 100_000;
+      node.onFrame(
+          CONTROL, Frame.of("claim.ok").with("sent", clock.nowUs).with("core", clock.nowUs));
+      node.tick();
+    }
+    assertThat(dispatched.statuses()).containsExactly(504);
+    assertThat(undispatched.statuses()).containsExactly(503);
+  }
+
   private List<Sent> asked(String kind) {
     return sent.stream().filter(each -> each.frame().kind().equals(kind)).toList();
   }
--- a/src/test/java/wellwheel/queue/StorageNodeTest.java
+++ b/src/test/java/wellwheel/queue/StorageNodeTest.java
@@ -9,10 +9,14 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import wellwheel.cluster.ClusterView;
 import wellwheel.config.NodeOptions;
+import wellwheel.receipts.IdempotencyKey;
+import wellwheel.receipts.ReceiptMessage;
+import wellwheel.receipts.RequestDigest;
 import wellwheel.runtime.Clock;
 import wellwheel.storage.Disk;
 import wellwheel.transport.Frame;
@@ -169,6 +173,59 @@
             .with("b", "the body".getBytes(StandardCharsets.UTF_8)));
   }
 
+  private static final String FOREIGN_KEY =
+      IntStream.range(0, 10_000)
+          .mapToObj(number -> "key-" + number)
+          .filter(key -> IdempotencyKey.homePartition("t", key) != 0)
+          .findFirst()
+          .orElseThrow();
+
+  private Frame ask(long number) {
+    return new ReceiptMessage.OwnershipQuestion(
+            0, 9, number, "t", "s", FOREIGN_KEY, new RequestDigest(1, 2))
+        .toFrame();
+  }
+
+  @Test
+  void aPrimaryDeniesAKeyOnlyOnceEveryCopyStillFollowsIt() throws Exception {
+    node.onFrame(OTHER, ask(5));
+    assertThat(other("receipt.told")).isEmpty();
+    var barrier = other("rep").get(0);
+    assertThat(barrier.inner("c").kind()).isEqualTo("b");
+    node.onFrame(OTHER, Frame.of("ok").with("l", 0).with("s", barrier.number("s")));
+    var told = (ReceiptMessage.OwnershipAnswer) ReceiptMessage.read(other("receipt.told").get(0));
+    assertThat(told.number()).isEqualTo(5);
+    assertThat(told.messageId()).isEmpty();
+  }
+
+  @Test
+  void aKeyThatComesWhileTheCopiesAreAskedIsNotDenied() {
+    node.onFrame(OTHER, ask(5));
+    var barrier = other("rep").get(0);
+    node.onFrame("10.0.0.9", keyedHandIn("m2"));
+    other("rep")
+        .forEach(
+            each -> node.onFrame(OTHER, Frame.of("ok").with("l", 0).with("s", each.number("s"))));
+    assertThat(barrier.inner("c").kind()).isEqualTo("b");
+    assertThat(other("receipt.told")).isEmpty();
+  }
+
+  private static Frame keyedHandIn(String id) {
+    return Frame.of("put")
+        .with("l", 0)
+        .with("rid", 2)
+        .with("i", id)
+        .with("t", "t")
+        .with("h", "h")
+        .with("m", "POST")
+        .with("p", "/x")
+        .with("ik", FOREIGN_KEY)
+        .with("sv", "s")
+        .with("dg", new RequestDigest(1, 2).toBytes())
+        .with("keep", 90_000_000L)
+        .with("b", "the body".getBytes(StandardCharsets.UTF_8));
+  }
+
   private List<Frame> other(String kind) {
     return sentToOther.stream().filter(frame -> frame.kind().equals(kind)).toList();
   }
