--- a/src/main/java/wellwheel/Main.java
+++ b/src/main/java/wellwheel/Main.java
@@ -8,6 +8,9 @@
 import wellwheel.runtime.ResultCode;
 import wellwheel.storage.Journal;
 
+/**
+ * Starts the daemon of one role: <code>edge</code>, <code>storage</code> or <code>control</code>.
+ */
 public final class Main {
   private static final System.Logger LOG = System.getLogger("main");
   private static final int USAGE_STATUS = 64;
--- a/src/main/java/wellwheel/Warmup.java
+++ b/src/main/java/wellwheel/Warmup.java
@@ -16,6 +16,10 @@
 import wellwheel.queue.StorageDaemon;
 import wellwheel.runtime.NodeRuntime;
 
+/**
+ * Plays a small cluster in one process at build time, so that the class archive holds what daemons
+ * load.
+ */
 final class Warmup {
   private static final long LONGEST_MS = 8_000;
   private static final String CONFIG =
--- a/src/main/java/wellwheel/cli/ControlClient.java
+++ b/src/main/java/wellwheel/cli/ControlClient.java
@@ -13,6 +13,10 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
+/**
+ * Calls control nodes over HTTP: follows redirects, moves on when an address fails, gives up after
+ * a while.
+ */
 final class ControlClient {
   static {
     System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
--- a/src/main/java/wellwheel/cli/HistoryCommands.java
+++ b/src/main/java/wellwheel/cli/HistoryCommands.java
@@ -19,6 +19,7 @@
 import wellwheel.forecast.Season;
 import wellwheel.forecast.Sizing;
 
+/** The subcommands that read queue history and forecast from it. */
 final class HistoryCommands {
   private static final int HORIZON_MOST = 14 * 24;
   private static final String SPAN = "([0-9]{1,4})([hdw])";
--- a/src/main/java/wellwheel/cli/WellwheelCtl.java
+++ b/src/main/java/wellwheel/cli/WellwheelCtl.java
@@ -28,6 +28,7 @@
 import wellwheel.config.Configuration;
 import wellwheel.runtime.ResultCode;
 
+/** The operators' command line. */
 @Command(
     name = "wellwheelctl",
     description = "Operates a wellwheel.",
--- /dev/null
+++ b/src/main/java/wellwheel/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package wellwheel.cli;
--- a/src/main/java/wellwheel/cluster/ClusterLease.java
+++ b/src/main/java/wellwheel/cluster/ClusterLease.java
@@ -9,6 +9,10 @@
 import wellwheel.transport.Frame;
 import wellwheel.transport.Network;
 
+/**
+ * A node's lease with the control leader: renews it, follows a change of leader, and holds the
+ * newest configuration, partition table, members and processors that came with it.
+ */
 public final class ClusterLease {
   private static final System.Logger LOG = System.getLogger("claim");
   private static final long RENEW_US = 400_000;
--- a/src/main/java/wellwheel/cluster/ClusterView.java
+++ b/src/main/java/wellwheel/cluster/ClusterView.java
@@ -8,10 +8,15 @@
 import java.util.Optional;
 import wellwheel.transport.Frame;
 
+/** An immutable view of the partition table and the members of the cluster. */
 public final class ClusterView {
   public static final int PARTITIONS = 48;
   public static final ClusterView NONE = new ClusterView(0, List.of(), 0, Map.of());
 
+  /**
+   * A partition's place: its epoch, its copies with the primary first, the copy that joins, and how
+   * many copies acceptance needs.
+   */
   public record Partition(
       int number, long epoch, List<String> copies, String joining, int need, long version) {
     public static Partition unknown(int number) {
@@ -73,6 +78,7 @@
     }
   }
 
+  /** A node that holds a lease. The identifier changes with its disk or its life. */
   public record Member(String id, String role, String ip, String zone) {
     public Frame frame() {
       return new Frame().with("id", id).with("role", role).with("ip", ip).with("zone", zone);
@@ -83,6 +89,7 @@
     }
   }
 
+  /** A processor on the platform's list. */
   public record Processor(
       String id,
       String service,
--- a/src/main/java/wellwheel/cluster/Rollout.java
+++ b/src/main/java/wellwheel/cluster/Rollout.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import wellwheel.transport.Frame;
 
+/** The state of a service's rollout to a new version of its processors. */
 public record Rollout(
     String service,
     List<Integer> steps,
@@ -25,18 +26,21 @@
   private static final int STEPS_MOST = 20;
   private static final int VERSIONS_MOST = 16;
 
+  /** What a rollout is doing. */
   public enum Phase {
     IDLE,
     SHIFTING,
     HELD
   }
 
+  /** A policy that cannot be used, and why. */
   public static final class Invalid extends Exception {
     Invalid(String why) {
       super(why);
     }
   }
 
+  /** Attempts and errors of both versions. */
   public record Tally(long newLegs, long newBad, long oldLegs, long oldBad) {
     public static final Tally NONE = new Tally(0, 0, 0, 0);
 
--- /dev/null
+++ b/src/main/java/wellwheel/cluster/package-info.java
@@ -0,0 +1,2 @@
+/** What every node knows of the cluster: its lease, the members, the partition table. */
+package wellwheel.cluster;
--- a/src/main/java/wellwheel/config/Configuration.java
+++ b/src/main/java/wellwheel/config/Configuration.java
@@ -24,11 +24,13 @@
 import java.util.Optional;
 import java.util.Set;
 
+/** The operators' configuration, checked and immutable: paths, services, tenants, limits. */
 public final class Configuration {
   public static final Configuration NONE =
       new Configuration(
           0, List.of(), Map.of(), List.of(), new Caps(16384, 262144, 3_000_000, 15_000_000));
 
+  /** A route: which requests it takes, to which service they go, and within which times. */
   public record Path(
       String name,
       String host,
@@ -43,6 +45,7 @@
       boolean inOrder,
       boolean open) {}
 
+  /** A service and how its processors are reached. */
   public record Service(
       String name, int maxConns, double perS, boolean dropsRepeats, boolean pull, String endpoint) {
     public boolean paced() {
@@ -50,10 +53,13 @@
     }
   }
 
+  /** A tenant and its limit. */
   public record Tenant(String name, double perS, double burst) {}
 
+  /** Bounds of what clients may send. */
   public record Caps(int headerBytes, int bodyBytes, long headerWaitUs, long idleUs) {}
 
+  /** A configuration that cannot be used: the place and the reason. */
   public static final class Invalid extends Exception {
     public Invalid(String place, String why) {
       super(place + ": " + why);
--- a/src/main/java/wellwheel/config/NodeOptions.java
+++ b/src/main/java/wellwheel/config/NodeOptions.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 
+/** A node's options file, checked. Times are in microseconds. */
 public record NodeOptions(
     String node,
     String ip,
@@ -45,6 +46,7 @@
   /** A try may arrive so long after it was sent: the longest wait and some delay on the way. */
   private static final double KEY_ARRIVAL_SLACK_S = 30;
 
+  /** Whether and in which intervals the node counts what its queues go through. */
   public record History(boolean enabled, long intervalUs, long flushUs) {}
 
   /**
@@ -57,6 +59,7 @@
    */
   public record Receipts(long waitUs, long keepUs, int most) {}
 
+  /** An options file that cannot be used, and why. */
   public static final class Unusable extends Exception {
     Unusable(String why) {
       super(why);
--- /dev/null
+++ b/src/main/java/wellwheel/config/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' configuration and a node's own options. */
+package wellwheel.config;
--- a/src/main/java/wellwheel/consensus/ChunkReceiver.java
+++ b/src/main/java/wellwheel/consensus/ChunkReceiver.java
@@ -5,6 +5,7 @@
 import java.util.zip.CRC32;
 import wellwheel.transport.Frame;
 
+/** Puts a record that came in chunks together again. */
 final class ChunkReceiver {
   static final int WHOLE_MOST = 64 << 20;
 
--- a/src/main/java/wellwheel/consensus/ChunkSender.java
+++ b/src/main/java/wellwheel/consensus/ChunkSender.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import wellwheel.transport.Frame;
 
+/** Sends a record that is too long for one frame in chunks, a few of them unacknowledged. */
 final class ChunkSender {
   static final int CHUNK = 64 << 10;
   static final int WINDOW = 4 * CHUNK;
--- a/src/main/java/wellwheel/consensus/Follower.java
+++ b/src/main/java/wellwheel/consensus/Follower.java
@@ -3,6 +3,10 @@
 import java.util.Optional;
 import wellwheel.transport.Frame;
 
+/**
+ * What a leader knows of one follower: how far its log is level, what is under way to it and when
+ * it last answered.
+ */
 final class Follower {
   static final long FIRST_WAIT_US = 1_000_000;
   private static final long LAST_WAIT_US = 8_000_000;
--- a/src/main/java/wellwheel/consensus/Raft.java
+++ b/src/main/java/wellwheel/consensus/Raft.java
@@ -18,6 +18,10 @@
 import wellwheel.transport.Frame;
 import wellwheel.transport.Network;
 
+/**
+ * Replicated log of the control nodes: elections with pre-vote, check-quorum, membership changes
+ * one voter at a time, snapshots, read index.
+ */
 public final class Raft {
   private static final System.Logger LOG = System.getLogger("raft");
   private static final long BEAT_US = 150_000;
@@ -37,6 +41,7 @@
   private static final int BATCH = 64;
   private static final int BATCH_BYTES = 128 << 10;
 
+  /** What the replicated log drives. */
   public interface Host {
     void apply(long index, byte[] command);
 
@@ -74,6 +79,7 @@
     }
   }
 
+  /** How a member stands with the leader, for operators. */
   public record Standing(
       String ip, boolean votes, long behind, long silentUs, boolean blank, boolean leaving) {}
 
@@ -1177,6 +1183,7 @@
         });
   }
 
+  /** A moment's state of the member, for checkers. */
   public record View(
       long term,
       boolean leads,
--- /dev/null
+++ b/src/main/java/wellwheel/consensus/package-info.java
@@ -0,0 +1,2 @@
+/** The replicated log of the control nodes. */
+package wellwheel.consensus;
--- a/src/main/java/wellwheel/control/OperatorApi.java
+++ b/src/main/java/wellwheel/control/ConfigurationChanges.java
@@ -14,7 +14,11 @@
 import wellwheel.runtime.ResultCode;
 import wellwheel.transport.Frame;
 
-final class OperatorApi {
+/**
+ * The newest configuration and the digests of the changes that led to it; judges whether another
+ * change may be taken.
+ */
+final class ConfigurationChanges {
   static final int TAKEN_MOST = 4096;
   private static final System.Logger LOG = System.getLogger("orders");
   private static final byte[] NO_CONFIG =
--- a/src/main/java/wellwheel/control/ControlDaemon.java
+++ b/src/main/java/wellwheel/control/ControlDaemon.java
@@ -22,6 +22,7 @@
 import wellwheel.transport.Links;
 import wellwheel.transport.PooledHttpClient;
 
+/** Binds the control node to sockets, disk and the platform, and serves operators over HTTP. */
 public final class ControlDaemon {
   private static final System.Logger LOG = System.getLogger("control");
   private static final long TICK_US = 50_000;
--- a/src/main/java/wellwheel/control/ControlNode.java
+++ b/src/main/java/wellwheel/control/ControlNode.java
@@ -25,6 +25,10 @@
 import wellwheel.transport.Frame;
 import wellwheel.transport.Network;
 
+/**
+ * State machine of a control node: applies the replicated log, grants leases, plans the partition
+ * table, answers operators.
+ */
 public final class ControlNode implements Network.MessageHandler, Raft.Host {
   private static final System.Logger LOG = System.getLogger("control");
   private static final long STORAGE_CLAIM_US = 1_200_000;
@@ -45,6 +49,7 @@
   private static final long WANTED_US = 2_000;
   private static final long GATHER_US = 5_000_000;
 
+  /** The answer to an operator: result, place to go to if it is another node, body. */
   public record Reply(ResultCode code, String location, byte[] body) {
     static Reply of(ResultCode code) {
       return new Reply(code, "", new byte[0]);
@@ -85,7 +90,7 @@
       why -> {
         throw new IllegalStateException(why);
       };
-  private final OperatorApi orders = new OperatorApi();
+  private final ConfigurationChanges orders = new ConfigurationChanges();
   private final TreeMap<Integer, ClusterView.Partition> partitions = new TreeMap<>();
   private long partitionsVersion;
   private final Set<String> retiring = new LinkedHashSet<>();
@@ -1415,7 +1420,7 @@
     }
   }
 
-  private synchronized OperatorApi.Verdict judge(byte[] bytes, Optional<Long> base) {
+  private synchronized ConfigurationChanges.Verdict judge(byte[] bytes, Optional<Long> base) {
     return orders.judge(bytes, base);
   }
 
--- a/src/main/java/wellwheel/control/HistoryGather.java
+++ b/src/main/java/wellwheel/control/HistoryGather.java
@@ -19,6 +19,7 @@
 import wellwheel.runtime.ResultCode;
 import wellwheel.transport.Frame;
 
+/** Asks all nodes for queue history and adds up what they answer. */
 final class HistoryGather {
   private record Place(long startUs, long spanUs, String tenant, String service) {}
 
--- a/src/main/java/wellwheel/control/Rollouts.java
+++ b/src/main/java/wellwheel/control/Rollouts.java
@@ -12,6 +12,7 @@
 import wellwheel.cluster.Rollout;
 import wellwheel.transport.Frame;
 
+/** The replicated rollouts of all services and the tallies that move them on or back. */
 final class Rollouts {
   private static final int SERVICES_MOST = 256;
   private static final int THIN_STEPS = 4;
--- a/src/main/java/wellwheel/control/StepsGather.java
+++ b/src/main/java/wellwheel/control/StepsGather.java
@@ -15,6 +15,7 @@
 import wellwheel.runtime.ResultCode;
 import wellwheel.transport.Frame;
 
+/** Asks all storage nodes for a message and those that rely on it, round by round. */
 final class StepsGather {
   private static final int NAMES_MOST = 200;
   private static final String[] STATES = {"waiting", "finished", "failed"};
--- a/src/main/java/wellwheel/control/Warnings.java
+++ b/src/main/java/wellwheel/control/Warnings.java
@@ -13,6 +13,7 @@
 import wellwheel.runtime.ResultCode;
 import wellwheel.transport.Frame;
 
+/** Judges reports of storage nodes and names tenants that are held back and workers that lag. */
 final class Warnings {
   private static final System.Logger LOG = System.getLogger("warnings");
   private static final long FRESH_US = 700_000;
--- /dev/null
+++ b/src/main/java/wellwheel/control/package-info.java
@@ -0,0 +1,2 @@
+/** Control nodes: leases, membership, placement of partitions, operator calls. */
+package wellwheel.control;
--- a/src/main/java/wellwheel/edge/EdgeDaemon.java
+++ b/src/main/java/wellwheel/edge/EdgeDaemon.java
@@ -9,6 +9,7 @@
 import wellwheel.transport.HttpServer;
 import wellwheel.transport.Links;
 
+/** Binds the edge node to sockets and ends it gracefully. */
 public final class EdgeDaemon {
   private static final System.Logger LOG = System.getLogger("edge");
   private static final long CLOSE_AFTER_US = 2_400_000;
--- a/src/main/java/wellwheel/edge/EdgeNode.java
+++ b/src/main/java/wellwheel/edge/EdgeNode.java
@@ -27,6 +27,7 @@
 import wellwheel.transport.Frame;
 import wellwheel.transport.Network;
 
+/** State machine of an edge node: admission, hand-ins, look-ups, pulls and ends of jobs. */
 public final class EdgeNode implements Network.MessageHandler {
   private static final System.Logger LOG = System.getLogger("edge");
   private static final long CLAIM_MARGIN_US = 1_000_000;
--- a/src/main/java/wellwheel/edge/GracefulShutdown.java
+++ b/src/main/java/wellwheel/edge/GracefulShutdown.java
@@ -1,5 +1,6 @@
 package wellwheel.edge;
 
+/** Decides when a stopping edge node may flush its counters and end. */
 final class GracefulShutdown {
   enum Step {
     STAY,
--- a/src/main/java/wellwheel/edge/HitRelays.java
+++ b/src/main/java/wellwheel/edge/HitRelays.java
@@ -14,6 +14,7 @@
 import wellwheel.transport.Frame;
 import wellwheel.transport.Network;
 
+/** Passes counted hits through one edge node of each zone where there are many of them. */
 final class HitRelays {
   static final int FEW = 16;
   private static final long CALM_US = 75_000;
--- a/src/main/java/wellwheel/edge/RateLimiter.java
+++ b/src/main/java/wellwheel/edge/RateLimiter.java
@@ -9,6 +9,10 @@
 import java.util.function.LongSupplier;
 import wellwheel.transport.Frame;
 
+/**
+ * Replicated counters of admitted requests, after ADR-0013: a local increment decides, deltas
+ * follow.
+ */
 public final class RateLimiter {
   static final long SCALE_US = 200_000;
   private static final int KEYS_MOST = 4096;
@@ -17,8 +21,10 @@
   private static final int RATE_WINDOWS = 5;
   private static final double UNSEEN_S = 0.5;
 
+  /** A rate by the second and the burst above it. */
   public record Limit(double perS, double burst) {}
 
+  /** Whether a request is admitted; if not, when to come again and which limit refused it. */
   public record Verdict(boolean admitted, long retryAfterUs, double limit, long scaleUs) {}
 
   private static final class Ring {
--- /dev/null
+++ b/src/main/java/wellwheel/edge/package-info.java
@@ -0,0 +1,2 @@
+/** Edge nodes: client HTTP, admission, worker pulls, look-ups. */
+package wellwheel.edge;
--- a/src/main/java/wellwheel/forecast/Forecast.java
+++ b/src/main/java/wellwheel/forecast/Forecast.java
@@ -10,6 +10,9 @@
 import org.apache.commons.statistics.descriptive.Median;
 import org.apache.commons.statistics.descriptive.Quantile;
 
+/**
+ * Forecast of the work of a service from its history, with an error band taken from past forecasts.
+ */
 public final class Forecast {
   private static final int DAYS_LEAST = 2;
   private static final int WEEKS_FOR_WEEKLY = 2;
@@ -20,6 +23,7 @@
   private static final double HIGH = 0.9;
   private static final double LEVEL_MOST = 2.5;
 
+  /** A value with its error band. */
   public record Range(double low, double middle, double high) {}
 
   private final Season season;
@@ -144,10 +148,13 @@
         > Sizing.LATE_PART;
   }
 
+  /** How far past forecasts were off. */
   public record Score(int steps, double error, double naiveError, double insideBand) {}
 
+  /** How many late hours a past forecast would have named. */
   public record Lateness(int lateHours, int named, int rightlyNamed) {}
 
+  /** Scores of past forecasts by team and service. */
   public record Backtest(Map<Season.Team, Score> teams, Map<String, Lateness> services) {}
 
   public static Backtest backtest(Season season, int days, Map<String, Double> aimS)
--- a/src/main/java/wellwheel/forecast/Season.java
+++ b/src/main/java/wellwheel/forecast/Season.java
@@ -10,10 +10,12 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 
+/** The hours of a week, or of a day while history is short. */
 public final class Season {
   public static final double COVERED_LEAST = 0.5;
   private static final long DAY_US = 86_400_000_000L;
 
+  /** A tenant and a service. */
   public record Team(String tenant, String service) implements Comparable<Team> {
     @Override
     public int compareTo(Team other) {
@@ -22,9 +24,11 @@
     }
   }
 
+  /** What a team went through in one interval. */
   public record Point(
       long offered, long refused, long started, long late, long attempts, long slotUs) {}
 
+  /** History that cannot be read. */
   public static final class Invalid extends Exception {
     Invalid(String why) {
       super(why);
--- a/src/main/java/wellwheel/forecast/Sizing.java
+++ b/src/main/java/wellwheel/forecast/Sizing.java
@@ -1,5 +1,6 @@
 package wellwheel.forecast;
 
+/** Slots needed so that few starts wait longer than the aim, by the formula of Erlang. */
 public final class Sizing {
   public static final double LATE_PART = 0.05;
   public static final long STARTS_LEAST = 10;
--- /dev/null
+++ b/src/main/java/wellwheel/forecast/package-info.java
@@ -0,0 +1,2 @@
+/** Forecasts of work and of the slots it needs. */
+package wellwheel.forecast;
--- a/src/main/java/wellwheel/history/HistoryFile.java
+++ b/src/main/java/wellwheel/history/HistoryFile.java
@@ -10,6 +10,7 @@
 import wellwheel.storage.JournalReader;
 import wellwheel.transport.Frame;
 
+/** The file that queue history is kept in. */
 final class HistoryFile {
   private static final int HEAD = 8;
   private final Disk disk;
--- a/src/main/java/wellwheel/history/HistoryRow.java
+++ b/src/main/java/wellwheel/history/HistoryRow.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import wellwheel.transport.Frame;
 
+/** What one tenant and service went through in one interval. */
 public record HistoryRow(
     String node,
     String life,
@@ -14,6 +15,7 @@
     Counts counts) {
   public static final int WAITS = 24;
 
+  /** The counters of one row; they only grow and merge by maximum. */
   public record Counts(
       long offered,
       long refused,
--- a/src/main/java/wellwheel/history/QueueHistory.java
+++ b/src/main/java/wellwheel/history/QueueHistory.java
@@ -11,6 +11,9 @@
 import wellwheel.storage.Disk;
 import wellwheel.transport.Frame;
 
+/**
+ * Counts what the queues go through by interval, tenant and service, and keeps it over restarts.
+ */
 public final class QueueHistory {
   private static final System.Logger LOG = System.getLogger("history");
   private static final String FILE = "history.journal";
@@ -21,6 +24,7 @@
   private static final long FILE_LONG = 1L << 20;
   public static final String REST = "(rest)";
 
+  /** A history file that this program cannot read. */
   public static final class Unreadable extends RuntimeException {
     Unreadable(String why) {
       super(why);
--- /dev/null
+++ b/src/main/java/wellwheel/history/package-info.java
@@ -0,0 +1,2 @@
+/** Counts of what the queues went through. */
+package wellwheel.history;
--- /dev/null
+++ b/src/main/java/wellwheel/package-info.java
@@ -0,0 +1,2 @@
+/** Programs of the daemons. */
+package wellwheel;
--- a/src/main/java/wellwheel/queue/DeliveryClient.java
+++ b/src/main/java/wellwheel/queue/DeliveryClient.java
@@ -2,7 +2,9 @@
 
 import java.util.function.Consumer;
 
+/** Delivers a message to a processor and tells the outcome. */
 public interface DeliveryClient {
+  /** How a delivery ended. */
   enum Result {
     DONE,
     FAILED,
@@ -12,6 +14,7 @@
     UNKNOWN
   }
 
+  /** One delivery of a message to a processor. */
   record Attempt(
       String address,
       String host,
@@ -26,6 +29,7 @@
       long giveUpUs,
       int mostConnections) {}
 
+  /** What became of a delivery, with the seal and load that the processor told. */
   record Outcome(Result result, String seal, String load) {}
 
   void deliver(Attempt attempt, Consumer<Outcome> done);
--- a/src/main/java/wellwheel/queue/Dispatcher.java
+++ b/src/main/java/wellwheel/queue/Dispatcher.java
@@ -13,6 +13,7 @@
 import wellwheel.cluster.ClusterView;
 import wellwheel.transport.Frame;
 
+/** The due messages of one service and the processors and pulls that can take them. */
 final class Dispatcher {
   private static final int LATE_TURN = 4;
   private static final int SHARES_MOST = 1024;
--- a/src/main/java/wellwheel/queue/HttpDeliveryClient.java
+++ b/src/main/java/wellwheel/queue/HttpDeliveryClient.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import wellwheel.transport.PooledHttpClient;
 
+/** Delivers messages over HTTP. */
 final class HttpDeliveryClient implements DeliveryClient {
   private static final long SLACK_US = 60_000;
   private final PooledHttpClient caller;
--- a/src/main/java/wellwheel/queue/RolloutRouter.java
+++ b/src/main/java/wellwheel/queue/RolloutRouter.java
@@ -11,6 +11,7 @@
 import java.util.zip.CRC32;
 import wellwheel.cluster.Rollout;
 
+/** Decides which version of a service a message may run at while a rollout is under way. */
 final class RolloutRouter {
   static final int NEVER = 3;
   private static final int SEEN_MOST = 16;
--- a/src/main/java/wellwheel/queue/StepDependencies.java
+++ b/src/main/java/wellwheel/queue/StepDependencies.java
@@ -13,6 +13,7 @@
 import java.util.function.Predicate;
 import wellwheel.runtime.Clock;
 
+/** Messages that wait for others to end, and those that ask to be told of an end. */
 final class StepDependencies {
   enum Ended {
     NOT_YET,
--- a/src/main/java/wellwheel/queue/StorageDaemon.java
+++ b/src/main/java/wellwheel/queue/StorageDaemon.java
@@ -7,6 +7,7 @@
 import wellwheel.transport.Links;
 import wellwheel.transport.PooledHttpClient;
 
+/** Binds the storage node to sockets, disk and processors. */
 public final class StorageDaemon {
   private static final System.Logger LOG = System.getLogger("storage");
   private static final long TICK_US = 50_000;
--- a/src/main/java/wellwheel/queue/StorageNode.java
+++ b/src/main/java/wellwheel/queue/StorageNode.java
@@ -29,6 +29,10 @@
 import wellwheel.transport.Frame;
 import wellwheel.transport.Network;
 
+/**
+ * State machine of a storage node: its copies of partitions, their replication, the messages in
+ * them, their attempts and ends.
+ */
 public final class StorageNode implements Network.MessageHandler {
   private static final System.Logger LOG = System.getLogger("storage");
   private static final long LEG_FRESH_US = 2_500_000;
@@ -570,19 +574,7 @@
     }
     ordered.stream()
         .filter(unsure::contains)
-        .forEach(
-            message ->
-                replicate(
-                    partition,
-                    message,
-                    message::whole,
-                    true,
-                    () -> {
-                      message.settling = false;
-                      keptNow(partition, message);
-                      runSettleWaiters(message);
-                      arrange(partition, message);
-                    }));
+        .forEach(message -> replicateUnsure(partition, message));
     openReceipts(partition, wasMember);
     dispatchers
         .values()
@@ -593,6 +585,21 @@
             });
   }
 
+  /** Brings a record that may not stand on every copy to all of them before it counts. */
+  private void replicateUnsure(Partition partition, Message message) {
+    replicate(
+        partition,
+        message,
+        message::whole,
+        true,
+        () -> {
+          message.settling = false;
+          keptNow(partition, message);
+          runSettleWaiters(message);
+          arrange(partition, message);
+        });
+  }
+
   private void openReceipts(Partition partition, boolean wasMember) {
     for (var receipt : List.copyOf(partition.receipts.all())) {
       if (wasMember && receipt.sequence > partition.low) {
--- a/src/main/java/wellwheel/queue/StragglerDetector.java
+++ b/src/main/java/wellwheel/queue/StragglerDetector.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import wellwheel.transport.Frame;
 
+/** Finds tenants that are held back and workers that are slower than their peers. */
 final class StragglerDetector {
   private static final long FADE_US = 1_000_000;
   private static final long REPORT_US = 100_000;
--- /dev/null
+++ b/src/main/java/wellwheel/queue/package-info.java
@@ -0,0 +1,2 @@
+/** Storage nodes: partitions of messages, replication, pacing, deliveries. */
+package wellwheel.queue;
--- a/src/main/java/wellwheel/runtime/Clock.java
+++ b/src/main/java/wellwheel/runtime/Clock.java
@@ -1,5 +1,9 @@
 package wellwheel.runtime;
 
+/**
+ * Time and timers, so that state machines run under a simulated clock as well. Times are in
+ * microseconds.
+ */
 public interface Clock {
   long steadyUs();
 
@@ -7,6 +11,7 @@
 
   Schedule after(long waitUs, Runnable task);
 
+  /** A timer that has not fired yet. */
   interface Schedule {
     void cancel();
   }
--- a/src/main/java/wellwheel/runtime/JsonLogHandler.java
+++ b/src/main/java/wellwheel/runtime/JsonLogHandler.java
@@ -2,6 +2,7 @@
 
 import java.util.ResourceBundle;
 
+/** Writes log records as JSON lines to standard output. */
 public final class JsonLogHandler extends System.LoggerFinder {
   @Override
   public System.Logger getLogger(String name, Module module) {
--- a/src/main/java/wellwheel/runtime/LoopClock.java
+++ b/src/main/java/wellwheel/runtime/LoopClock.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
 
+/** The clock of an event loop. */
 public final class LoopClock implements Clock {
   private static final System.Logger LOG = System.getLogger("clock");
   private final EventLoop loop;
--- a/src/main/java/wellwheel/runtime/NodeRuntime.java
+++ b/src/main/java/wellwheel/runtime/NodeRuntime.java
@@ -11,6 +11,7 @@
 import sun.misc.Signal;
 import wellwheel.config.NodeOptions;
 
+/** The event loop, clock, options and signals of a daemon's process. */
 public final class NodeRuntime {
   private static final System.Logger LOG = System.getLogger("runtime");
   public static final int BAD_OPTIONS_STATUS = 78;
--- a/src/main/java/wellwheel/runtime/ResultCode.java
+++ b/src/main/java/wellwheel/runtime/ResultCode.java
@@ -1,5 +1,8 @@
 package wellwheel.runtime;
 
+/**
+ * Numbered results of calls and events, with the HTTP status that goes with each (0: in logs only).
+ */
 public enum ResultCode {
   KEPT(1000, 202, "the message is kept on every disk it is owed"),
   FINE(1001, 200, "done"),
--- a/src/main/java/wellwheel/runtime/WakeUpTimer.java
+++ b/src/main/java/wellwheel/runtime/WakeUpTimer.java
@@ -1,5 +1,6 @@
 package wellwheel.runtime;
 
+/** Runs a task at the earliest of the times that it was asked for. */
 public final class WakeUpTimer {
   private final Clock clock;
   private final Runnable task;
--- /dev/null
+++ b/src/main/java/wellwheel/runtime/package-info.java
@@ -0,0 +1,2 @@
+/** Event loop, clock, logs and result codes of a process. */
+package wellwheel.runtime;
--- a/src/main/java/wellwheel/simulation/Days.java
+++ b/src/main/java/wellwheel/simulation/Days.java
@@ -25,6 +25,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
+/** Draws a day of troubles from a seed and writes it as a file that a bench plays. */
 @Command(
     name = "days",
     mixinStandardHelpOptions = true,
--- a/src/main/java/wellwheel/simulation/Fleet.java
+++ b/src/main/java/wellwheel/simulation/Fleet.java
@@ -18,6 +18,7 @@
 import wellwheel.runtime.ResultCode;
 import wellwheel.transport.Exchange;
 
+/** Measures what a fleet of many nodes sends and spends, in one process without sockets. */
 @Command(
     name = "fleet",
     mixinStandardHelpOptions = true,
@@ -84,6 +85,7 @@
   @Option(names = "--kinds", description = "also list every kind of frame")
   boolean kinds;
 
+  /** The figures of one role. */
   public record Row(
       String role,
       int nodes,
--- a/src/main/java/wellwheel/simulation/World.java
+++ b/src/main/java/wellwheel/simulation/World.java
@@ -24,6 +24,7 @@
 import wellwheel.transport.Frame;
 import wellwheel.transport.Network;
 
+/** A cluster in one process under a seeded clock, network and disks, with faults on demand. */
 public final class World {
   private static final long TICK_US = 50_000;
   private static final long LEARN_US = 1_000_000;
@@ -31,6 +32,7 @@
   private static final long GRACE_US = 5_500_000;
   private static final int SPOILED_BYTES = 16;
 
+  /** Zones, numbers of nodes, delays and losses to bear. */
   public record Shape(
       List<String> zones,
       int edgesPerZone,
@@ -78,6 +80,7 @@
 
   private record Event(long atUs, long turn, Runnable task) {}
 
+  /** A simulated machine and the process on it. */
   public final class Host {
     public final String name;
     public final String role;
@@ -322,6 +325,7 @@
     }
   }
 
+  /** Hears what is on disks after each sync and each loss. */
   public interface DiskListener {
     void kept(Host host, String file, boolean anew, byte[] bytes);
   }
@@ -490,6 +494,7 @@
     }
   }
 
+  /** Stands for all processors of a day. */
   public interface Processors {
     Optional<DeliveryClient.Outcome> run(DeliveryClient.Attempt attempt, long atUs);
 
@@ -528,6 +533,7 @@
     public void forget(String address) {}
   }
 
+  /** A request of a simulated client. */
   public final class Ask implements Exchange {
     private final String method;
     private final String target;
--- /dev/null
+++ b/src/main/java/wellwheel/simulation/package-info.java
@@ -0,0 +1,2 @@
+/** Whole clusters in one process under a seeded clock, for tests and measurements. */
+package wellwheel.simulation;
--- a/src/main/java/wellwheel/storage/FileDisk.java
+++ b/src/main/java/wellwheel/storage/FileDisk.java
@@ -15,6 +15,7 @@
 import org.jctools.queues.MpscBlockingConsumerArrayQueue;
 import wellwheel.runtime.LoopClock;
 
+/** A disk in a folder; a thread of its own writes and syncs in groups. */
 public final class FileDisk implements Disk {
   private static final System.Logger LOG = System.getLogger("disk");
   private static final int BATCH = 512;
--- a/src/main/java/wellwheel/storage/Journal.java
+++ b/src/main/java/wellwheel/storage/Journal.java
@@ -6,11 +6,14 @@
 import java.util.function.Consumer;
 import wellwheel.runtime.ResultCode;
 
+/** An append-only file of checksummed records that is rewritten when it is long. */
 public final class Journal {
   private static final System.Logger LOG = System.getLogger("journal");
 
+  /** What reading a journal found. */
   public record Replay(int records, boolean cut, boolean syncedDamaged) {}
 
+  /** A journal that must not be used, with its result code. */
   public static final class Unreadable extends RuntimeException {
     private final ResultCode code;
 
--- a/src/main/java/wellwheel/storage/JournalReader.java
+++ b/src/main/java/wellwheel/storage/JournalReader.java
@@ -7,6 +7,7 @@
 import java.util.zip.CRC32;
 import wellwheel.runtime.ResultCode;
 
+/** Reads the records of a journal and tells a torn tail from damage inside what had been synced. */
 public final class JournalReader {
   static final int VERSION = 2;
   private static final byte MARK = (byte) 0xC1;
--- a/src/main/java/wellwheel/storage/Volume.java
+++ b/src/main/java/wellwheel/storage/Volume.java
@@ -9,6 +9,7 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 
+/** The file operations that a disk needs. */
 interface Volume {
   boolean exists(String name) throws IOException;
 
--- /dev/null
+++ b/src/main/java/wellwheel/storage/package-info.java
@@ -0,0 +1,2 @@
+/** Files that outlive a loss of power. */
+package wellwheel.storage;
--- a/src/main/java/wellwheel/transport/Exchange.java
+++ b/src/main/java/wellwheel/transport/Exchange.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import wellwheel.runtime.ResultCode;
 
+/** One HTTP request and the way to answer it. */
 public interface Exchange {
   String method();
 
@@ -25,6 +26,7 @@
 
   void onClose(Runnable task);
 
+  /** The answer to a request. */
   record Answer(
       ResultCode code, List<String> headers, String contentType, byte[] body, boolean close) {
     public static Answer of(ResultCode code, String... headers) {
--- a/src/main/java/wellwheel/transport/Frame.java
+++ b/src/main/java/wellwheel/transport/Frame.java
@@ -9,6 +9,7 @@
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
+/** A message between nodes or a record in a journal: named fields, packed as MessagePack. */
 public final class Frame {
   private static final byte[] NO_BYTES = {};
   private static final MessagePack.PackerConfig PACKER =
--- a/src/main/java/wellwheel/transport/HttpServer.java
+++ b/src/main/java/wellwheel/transport/HttpServer.java
@@ -40,6 +40,7 @@
 import wellwheel.runtime.LoopClock;
 import wellwheel.runtime.ResultCode;
 
+/** Serves HTTP/1.1 on an event loop, strictly: what cannot be read without doubt is refused. */
 public final class HttpServer {
   private static final int PIPELINE_MOST = 16;
   private static final long WATCH_US = 500_000;
--- a/src/main/java/wellwheel/transport/Links.java
+++ b/src/main/java/wellwheel/transport/Links.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import wellwheel.runtime.LoopClock;
 
+/** Frames between nodes over TCP: one connection to each peer, numbered by life. */
 public final class Links implements Network {
   private static final System.Logger LOG = System.getLogger("links");
   private static final int PROTOCOL = 1;
--- a/src/main/java/wellwheel/transport/Network.java
+++ b/src/main/java/wellwheel/transport/Network.java
@@ -1,8 +1,10 @@
 package wellwheel.transport;
 
+/** Sends frames to other nodes by their address. */
 public interface Network {
   void send(String peerIp, Frame frame);
 
+  /** Hears what comes from other nodes. */
   interface MessageHandler {
     void onFrame(String peerIp, Frame frame);
 
--- a/src/main/java/wellwheel/transport/PooledHttpClient.java
+++ b/src/main/java/wellwheel/transport/PooledHttpClient.java
@@ -37,6 +37,7 @@
 import wellwheel.runtime.Clock;
 import wellwheel.runtime.LoopClock;
 
+/** HTTP/1.1 client with a bounded pool of connections for each address. */
 public final class PooledHttpClient {
   private static final int ANSWER_MOST = 8 << 20;
   private static final int WAITING_MOST = 4096;
@@ -44,12 +45,14 @@
   private static final int CONNECT_MS = 500;
   private static final int CARRIED_MOST = 128;
 
+  /** How a call ended, as far as it is known. */
   public enum Fate {
     ANSWERED,
     NOT_SENT,
     UNKNOWN
   }
 
+  /** One request. */
   public record Call(
       String address,
       String method,
@@ -60,6 +63,7 @@
       int mostConnections,
       String echo) {}
 
+  /** How a call ended and what came back. */
   public record Answer(Fate fate, int status, Map<String, String> headers, byte[] body) {
     static Answer of(Fate fate) {
       return new Answer(fate, 0, Map.of(), new byte[0]);
--- /dev/null
+++ b/src/main/java/wellwheel/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Frames between nodes, HTTP server and client. */
+package wellwheel.transport;
