--- a/src/main/java/wellwheel/simulation/Fleet.java
+++ b/src/main/java/wellwheel/simulation/Fleet.java
@@ -15,6 +15,7 @@
 import picocli.CommandLine.Option;
 import wellwheel.cluster.ClusterView;
 import wellwheel.queue.DeliveryClient;
+import wellwheel.receipts.IdempotencyKey;
 import wellwheel.runtime.ResultCode;
 import wellwheel.transport.Exchange;
 
@@ -68,6 +69,11 @@
       description = "part of its rate limit that each tenant uses (default ${DEFAULT-VALUE})")
   double nearLimit = 0.6;
 
+  @Option(
+      names = "--keyed",
+      description = "part of the hand-ins that carry an idempotency key (default ${DEFAULT-VALUE})")
+  double keyed = 0;
+
   @Option(
       names = "--backlog",
       description =
@@ -438,6 +444,9 @@
                 "Bearer key-" + world.random().nextInt(tenants),
                 "Time-Left-Ms",
                 "1000"));
+    if (keyed > 0 && world.random().nextDouble() < keyed) {
+      headers.put(IdempotencyKey.HEADER, "operation-" + sent);
+    }
     if (service.equals("ordered")) {
       headers.put("Order-Key", "thing-" + world.random().nextInt(1000));
     }
