Receipts: a withdrawn try is answered only once no copy has it

A copy that still had it would, as the next primary, claim its key again; with a full home partition that claim might then be granted though the try was promised never to run.

--- a/src/main/java/wellwheel/queue/StorageNode.java
+++ b/src/main/java/wellwheel/queue/StorageNode.java
@@ -1276,14 +1276,16 @@
     }
   }
 
-  /** Takes back a message that was never confirmed: its key belongs to another one. */
+  /**
+   * Takes back a message that was never confirmed: its key belongs to another one. Its senders are
+   * told once no copy has it, as a copy that becomes primary would claim for it again.
+   */
   private void withdraw(Partition partition, Message message, PutOutcome outcome) {
     message.withdrawn = true;
     message.stamp++;
     drop(partition, message.id);
-    replicate(partition, message, message::whole, true, () -> {});
+    replicate(partition, message, message::whole, true, () -> tellPutWaiters(message, outcome));
     nextInOrder(partition, message);
-    tellPutWaiters(message, outcome);
   }
 
   private void onReceiptMessage(String from, Frame frame) {
