--- a/src/test/java/wellwheel/simulation/IdempotencyTest.java
+++ b/src/test/java/wellwheel/simulation/IdempotencyTest.java
@@ -72,6 +72,24 @@
                     .containsMatch("finished|failed|waiting"));
   }
 
+  @ParameterizedTest
+  @ValueSource(longs = {291, 292, 293, 294})
+  void onACalmDayEverythingAcceptedUnderAKeyEndsSoon(long seed) {
+    var play = new Scenario(seed, shape(seed)).up();
+    play.repeatedEnds = 0.2;
+    var keyed = new KeyedOperations(play);
+    keyed.load(20 * SECOND);
+    play.run(32 * SECOND);
+    judge(keyed);
+    var open =
+        keyed.operations.stream()
+            .filter(KeyedOperations.Operation::accepted)
+            .filter(operation -> operation.entry.successes == 0 && operation.entry.fails < 4)
+            .map(operation -> operation.key + " " + operation.service + " " + operation.names)
+            .toList();
+    assertThat(open).isEmpty();
+  }
+
   @ParameterizedTest
   @ValueSource(longs = {301, 302, 303, 304})
   void keysOutliveAllPowerBeingLost(long seed) {
