--- a/src/test/java/wellwheel/simulation/Scenario.java
+++ b/src/test/java/wellwheel/simulation/Scenario.java
@@ -215,7 +215,8 @@
     }
     checker.starts(entry, world.nowUs());
     var fails =
-        world.random().nextInt(30) == 0 || version.equals("v2") && checker.newHow.equals("fails");
+        world.random().nextInt(failsOneIn) == 0
+            || version.equals("v2") && checker.newHow.equals("fails");
     entry.endTried |= !fails;
     world.after(
         (50_000 + world.random().nextInt(400_000))
@@ -239,6 +240,9 @@
     }
   }
 
+  /** A worker's attempt fails once in so many. */
+  int failsOneIn = 30;
+
   /** Share of the ends that come again once they have been taken. */
   double repeatedEnds;
 
