Receipts: message kinds named once, an unused call of the coordinator removed

StorageNode listed the four kinds that ReceiptMessage.isOne knows; the coordinator never asked for core time.

--- a/src/main/java/wellwheel/queue/ReceiptCoordinator.java
+++ b/src/main/java/wellwheel/queue/ReceiptCoordinator.java
@@ -59,9 +59,6 @@
 
     /** Receipts on this node, over all partitions. */
     int receipts();
-
-    /** Core time in microseconds. */
-    long coreUs();
   }
 
   /** How a request stands with what its home partition knows of the key. */
--- a/src/main/java/wellwheel/queue/StorageNode.java
+++ b/src/main/java/wellwheel/queue/StorageNode.java
@@ -20,6 +20,7 @@
 import wellwheel.history.QueueHistory;
 import wellwheel.receipts.MalformedMessageException;
 import wellwheel.receipts.Receipt;
+import wellwheel.receipts.ReceiptMessage;
 import wellwheel.receipts.RequestDigest;
 import wellwheel.replication.ReplicatedRecord;
 import wellwheel.runtime.Clock;
@@ -860,8 +861,6 @@
                   Math.floorMod(frame.small("ended"), StepDependencies.Ended.values().length)]);
       case "steps.read" -> onStepsRead(from, frame);
       case "steps.order" -> onStepsOrder(from, frame);
-      case "receipt.claim", "receipt.verdict", "receipt.ask", "receipt.told" ->
-          onReceiptMessage(from, frame);
       case "receipts.read" ->
           wire.send(
               from, ReceiptQueries.answer(id, partitions.values(), frame, clusterLease.coreUs()));
@@ -873,7 +872,11 @@
               stragglers
                   .rows(dispatchers, frame.texts("services"), clusterLease.coreUs())
                   .with("node", id));
-      default -> {}
+      default -> {
+        if (ReceiptMessage.isOne(frame)) {
+          onReceiptMessage(from, frame);
+        }
+      }
     }
   }
 
@@ -1344,11 +1347,6 @@
       public int receipts() {
         return partitions.values().stream().mapToInt(each -> each.receipts.size()).sum();
       }
-
-      @Override
-      public long coreUs() {
-        return clusterLease.coreUs();
-      }
     };
   }
 
