--- a/review/stand/Stand.java
+++ b/review/stand/Stand.java
@@ -72,6 +72,7 @@
   private final Map<String, String> commands = new LinkedHashMap<>();
   private final PrintWriter record;
   final String net;
+  private int machines;
 
   Stand(Path caseFolder) throws IOException {
     home = Files.createTempDirectory("stand");
@@ -121,7 +122,7 @@
 
   /** Adds a machine; the first three that serve control are the seeds. */
   Node add(String name, String role, String zone) {
-    var node = new Node(name, role, net + (1 + nodes.size()), zone);
+    var node = new Node(name, role, net + ++machines, zone);
     nodes.put(name, node);
     if (role.equals("control") && seeds.size() < 3) {
       seeds.add("\"" + node.ip + ":8741\"");
@@ -129,7 +130,8 @@
     return node;
   }
 
-  void start(Node node) throws IOException {
+  /** Writes the settings file of a machine, with the seeds of the moment. */
+  Path settings(Node node) throws IOException {
     var data = home.resolve(node.name + ".data");
     Files.createDirectories(data);
     var options = home.resolve(node.name + ".json");
@@ -169,6 +171,11 @@
             + "}"
             + extra.getOrDefault("options", "")
             + "}");
+    return options;
+  }
+
+  void start(Node node) throws IOException {
+    var options = settings(node);
     var builder = new ProcessBuilder(List.of(commands.get(node.role).split(" +")));
     var inherited = new LinkedHashMap<>(builder.environment());
     builder.environment().clear();
