--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-[ -e target/wellwheel.jar ] && [ -e target/review/ReplacedCore.class ] || exit 2
-exec java -Xmx256m -cp target/review ReplacedCore review/5
+[ -e target/wellwheel.jar ] && [ -e target/review/OldConfig.class ] || exit 2
+exec java -Xmx256m -cp target/review OldConfig review/5
