--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,7 @@
 #!/usr/bin/env bash
+# TROUBLE=0 does the same without the disruption.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -e target/wellwheel.jar ] && [ -e target/review/Backlog.class ] || exit 2
+export TROUBLE="${TROUBLE:-1}"
 exec java -Xmx512m -cp target/review Backlog review/2
