--- a/src/main/java/wellwheel/edge/EdgeNode.java
+++ b/src/main/java/wellwheel/edge/EdgeNode.java
@@ -495,6 +495,7 @@
             .with("o", path.inOrder() ? orderKey : "")
             .with("delay", delayUs)
             .with("keep", path.keepUs())
+            .with("cr", clusterLease.configuration().revision())
             .with("b", exchange.body());
     if (!steps.isEmpty()) {
       put.frame.with("ra", List.<Object>copyOf(steps));
--- a/src/main/java/wellwheel/queue/Message.java
+++ b/src/main/java/wellwheel/queue/Message.java
@@ -43,6 +43,10 @@
   final long acceptedUs;
   final long dueUs;
   final long expireUs;
+
+  /** Revision of the newest configuration that allowed the hand-in. */
+  final long admittedRevision;
+
   State state = State.WAITING;
   String seal = "";
   long endedUs;
@@ -110,6 +114,7 @@
     acceptedUs = frame.number("a");
     dueUs = frame.number("d");
     expireUs = frame.number("x");
+    admittedRevision = frame.number("cr");
     update(frame);
   }
 
@@ -245,7 +250,8 @@
         .with("n", number)
         .with("a", acceptedUs)
         .with("d", dueUs)
-        .with("x", expireUs);
+        .with("x", expireUs)
+        .with("cr", admittedRevision);
   }
 
   Frame change() {
@@ -283,6 +289,11 @@
     attempts = List.copyOf(all.subList(Math.max(0, all.size() - ATTEMPTS_MOST), all.size()));
   }
 
+  /** Whether an attempt under a lease that has not ended may still be running somewhere. */
+  boolean mayBeRunning() {
+    return !lease.isEmpty() && !lease.equals(endedLease);
+  }
+
   boolean waiting() {
     return state == State.WAITING;
   }
--- a/src/main/java/wellwheel/queue/StorageNode.java
+++ b/src/main/java/wellwheel/queue/StorageNode.java
@@ -77,6 +77,7 @@
   private final QueueHistory history;
   private final StepDependencies steps;
   private final ReceiptCoordinator receipts;
+  private final AwaitingConfiguration awaitingConfiguration = new AwaitingConfiguration();
   private final String id;
   private final Map<String, Long> heardUs = new HashMap<>();
   private final Map<String, Long> brokenUs = new HashMap<>();
@@ -279,6 +280,7 @@
     partition.receipts.remove(recordId);
     var message = partition.remove(recordId);
     message.ifPresent(old -> liveBytes -= old.body.length);
+    message.ifPresent(awaitingConfiguration::remove);
     return receipt.isPresent() || message.isPresent();
   }
 
@@ -316,6 +318,7 @@
 
   private void removeFromDispatchers(Predicate<Message> leaves) {
     dispatchers.values().forEach(dispatcher -> dispatcher.removeIf(leaves));
+    awaitingConfiguration.removeIf(leaves);
   }
 
   public synchronized void tick() {
@@ -457,9 +460,20 @@
       }
     }
     refreshDispatchers();
+    awaitingConfiguration
+        .takeDecidable(clusterLease.configuration().revision())
+        .forEach(this::configurationArrived);
     dispatchers.values().forEach(this::pump);
   }
 
+  /** Goes on with a message whose configuration has come; only now its attempt time is known. */
+  private void configurationArrived(Message message) {
+    if (message.mayBeRunning()) {
+      message.nextUs = Math.max(message.nextUs, clusterLease.coreUs() + attemptTimeUs(message));
+    }
+    arrange(partition(message.partition), message);
+  }
+
   private void moved(Partition partition, ClusterView.Partition place) {
     var first = !partition.seen;
     var old = partition.place;
@@ -563,8 +577,7 @@
       message.doubted = partition.comparing;
       if (message.waiting()) {
         enlist(partition, message);
-        var maybeRunning = !message.lease.isEmpty() && !message.lease.equals(message.endedLease);
-        if (maybeRunning || !wasMember) {
+        if (message.mayBeRunning() || !wasMember) {
           message.nextUs = Math.max(message.nextUs, nowUs + attemptTimeUs(message));
         }
         message.running = false;
@@ -1167,7 +1180,7 @@
     var known = partition.open ? earlierTry(partition, frame) : Optional.<Message>empty();
     if (known.isPresent()) {
       answerRepeat(partition, known.get(), from, frame);
-    } else if (!partition.open || !takesNew(partition)) {
+    } else if (!partition.open || !takesNew(partition) || routeDropped(frame)) {
       wire.send(from, PutOutcome.NOT_TAKEN.toFrame(requestNumber));
     } else {
       takeNew(partition, from, frame);
@@ -1199,6 +1212,14 @@
         && liveMessages() <= MESSAGES_MOST;
   }
 
+  /** Whether a configuration no older than the edge node's has no route for the hand-in. */
+  private boolean routeDropped(Frame handIn) {
+    var configuration = clusterLease.configuration();
+    return configuration.revision() > 0
+        && configuration.revision() >= handIn.number("cr")
+        && configuration.path(handIn.text("h"), handIn.text("p")).isEmpty();
+  }
+
   private void answerRepeat(Partition partition, Message known, String from, Frame handIn) {
     var requestNumber = handIn.number("rid");
     var sameKey = known.keyed() && known.isUnderKeyOf(handIn);
@@ -1239,9 +1260,11 @@
     replicate(partition, message, message::whole, true, () -> keptNow(partition, message));
   }
 
-  private static Message newMessage(Partition partition, Frame handIn, long nowUs) {
+  private Message newMessage(Partition partition, Frame handIn, long nowUs) {
+    var revision = Math.max(handIn.number("cr"), clusterLease.configuration().revision());
     return new Message(
         handIn
+            .with("cr", revision)
             .with("v", partition.epoch << Partition.REVISION_BITS)
             .with("a", nowUs)
             .with("d", nowUs + handIn.number("delay"))
@@ -1696,6 +1719,9 @@
     if (message.dueUs > nowUs) {
       return "its delay is not over";
     }
+    if (!AwaitingConfiguration.decidable(message, clusterLease.configuration().revision())) {
+      return "waits until its storage node has configuration " + message.admittedRevision;
+    }
     return message.nextUs > nowUs
         ? "waits before its next attempt, by whichever machine is free then"
         : "waits for a free machine";
@@ -1764,11 +1790,13 @@
   }
 
   private void offer(Partition partition, Message message) {
+    if (!AwaitingConfiguration.decidable(message, clusterLease.configuration().revision())) {
+      awaitingConfiguration.add(message);
+      return;
+    }
     var path = clusterLease.configuration().path(message.host, message.target);
     if (path.isEmpty()) {
-      if (clusterLease.configuration().revision() > 0) {
-        fail(partition, message, "its path was dropped");
-      }
+      fail(partition, message, "its path was dropped");
       return;
     }
     message.aimUs = path.get().startAimUs();
