--- a/src/main/java/wellwheel/runtime/LoopClock.java
+++ b/src/main/java/wellwheel/runtime/LoopClock.java
@@ -32,11 +32,14 @@
     loop.scheduleAtFixedRate(() -> guarded(task), periodUs, periodUs, TimeUnit.MICROSECONDS);
   }
 
+  /** Runs a task of the loop: an exception is logged and the loop goes on, an Error is fatal. */
   public static void guarded(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | AssertionError e) {
       LOG.log(System.Logger.Level.ERROR, "code=" + ResultCode.INNER.number(), e);
+    } catch (Error e) {
+      FatalErrors.check(e);
     }
   }
 }
--- a/src/main/java/wellwheel/runtime/NodeRuntime.java
+++ b/src/main/java/wellwheel/runtime/NodeRuntime.java
@@ -78,7 +78,7 @@
   public void onTerm(Runnable leave) {
     Signal.handle(new Signal("TERM"), signal -> loop.execute(() -> LoopClock.guarded(leave)));
     Signal.handle(new Signal("INT"), signal -> loop.execute(() -> LoopClock.guarded(leave)));
-    Signal.handle(new Signal("HUP"), signal -> loop.execute(this::reread));
+    Signal.handle(new Signal("HUP"), signal -> loop.execute(() -> LoopClock.guarded(this::reread)));
   }
 
   private void reread() {
--- a/src/main/java/wellwheel/runtime/ResultCode.java
+++ b/src/main/java/wellwheel/runtime/ResultCode.java
@@ -54,7 +54,8 @@
   WARNING_ENDS(5012, 0, "a warning is over"),
   SHIFT_MOVES(5013, 0, "a version rollout starts, takes a step, ends or goes back"),
   HISTORY_DAMAGED(5014, 0, "damaged records of queue history were skipped"),
-  STEP_HOLDS(5015, 0, "a step that failed holds later ones back");
+  STEP_HOLDS(5015, 0, "a step that failed holds later ones back"),
+  FATAL(5016, 0, "an error inside the process, such as no memory left; it ends with status 70");
 
   private final int number;
   private final int status;
--- a/src/main/java/wellwheel/transport/HttpServer.java
+++ b/src/main/java/wellwheel/transport/HttpServer.java
@@ -39,6 +39,7 @@
 import java.util.function.Supplier;
 import wellwheel.config.Configuration;
 import wellwheel.config.NodeOptions;
+import wellwheel.runtime.FatalErrors;
 import wellwheel.runtime.LoopClock;
 import wellwheel.runtime.ResultCode;
 
@@ -376,6 +377,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      FatalErrors.check(cause);
       context.close();
     }
   }
--- a/src/main/java/wellwheel/transport/Links.java
+++ b/src/main/java/wellwheel/transport/Links.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import wellwheel.runtime.FatalErrors;
 import wellwheel.runtime.LoopClock;
 
 /** Frames between nodes over TCP: one connection to each peer, numbered by life. */
@@ -181,6 +182,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      FatalErrors.check(cause);
       context.close();
     }
   }
@@ -217,6 +219,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      FatalErrors.check(cause);
       context.close();
     }
   }
@@ -276,7 +279,7 @@
     }
     if (!flushing) {
       flushing = true;
-      loop.execute(this::flush);
+      loop.execute(() -> LoopClock.guarded(this::flush));
     }
   }
 
@@ -312,7 +315,9 @@
               }
             })
         .connect(link.ip, port)
-        .addListener((io.netty.channel.ChannelFuture future) -> connected(link, future));
+        .addListener(
+            (io.netty.channel.ChannelFuture future) ->
+                LoopClock.guarded(() -> connected(link, future)));
   }
 
   private void connected(Link link, io.netty.channel.ChannelFuture future) {
--- a/src/main/java/wellwheel/transport/PooledHttpClient.java
+++ b/src/main/java/wellwheel/transport/PooledHttpClient.java
@@ -36,6 +36,7 @@
 import java.util.function.Consumer;
 import wellwheel.config.NodeOptions;
 import wellwheel.runtime.Clock;
+import wellwheel.runtime.FatalErrors;
 import wellwheel.runtime.LoopClock;
 
 /** HTTP/1.1 client with a bounded pool of connections for each address. */
@@ -270,6 +271,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      FatalErrors.check(cause);
       if (answer.isEmpty()) {
         failed();
       } else {
