--- a/src/main/java/wellwheel/queue/JoiningReplica.java
+++ b/src/main/java/wellwheel/queue/JoiningReplica.java
@@ -30,6 +30,9 @@
   /** Records that it has not acknowledged yet. */
   int owed;
 
+  /** Bytes of the bodies among them. */
+  long owedBytes;
+
   JoiningReplica(String node, long epoch, long nowUs) {
     this.node = node;
     this.epoch = epoch;
--- a/src/main/java/wellwheel/queue/Message.java
+++ b/src/main/java/wellwheel/queue/Message.java
@@ -203,6 +203,11 @@
     return id;
   }
 
+  @Override
+  public int bodyBytes() {
+    return body.length;
+  }
+
   @Override
   public Frame transfer(boolean absent, boolean bodiless) {
     return absent || bodiless && state != State.FINISHED ? whole() : change();
--- a/src/main/java/wellwheel/queue/StorageNode.java
+++ b/src/main/java/wellwheel/queue/StorageNode.java
@@ -46,13 +46,11 @@
   private static final long STALL_US = 300_000;
   private static final long LULL_US = 300_000;
   private static final long LEG_SLACK_US = 150_000;
-  private static final long LIVE_BYTES_MOST = 64L << 20;
-  private static final long LONG_JOURNAL = 48L << 20;
   private static final int ORPHANS_MOST = 1024;
   private static final long ORPHAN_US = 8_000_000;
   private static final long UNTOLD_US = 60_000;
   private static final int STEP_ROWS_MOST = 400;
-  private static final int MESSAGES_MOST = 150_000;
+  private static final long FORGET_SLACK_US = 10_000_000;
   private static final int DEMANDS_MOST = 4096;
   private static final int ASIDE_MOST = 64;
   private static final int ASKED_MOST = 12;
@@ -69,6 +67,9 @@
   private final Clock clock;
   private final Network wire;
   private final Journal journal;
+  private final JournalCompaction compaction;
+  private final CopyPressure copyPressure;
+  private final StorageMemory memory = StorageMemory.ofHeap(Runtime.getRuntime().maxMemory());
   private final DeliveryClient deliveryClient;
   private final Random random;
   private final ClusterLease clusterLease;
@@ -91,8 +92,6 @@
   private long inTouchSinceUs;
   private long liveBytes;
   private boolean leaving;
-  private boolean rewriting;
-  private long rewrittenBytes;
   private int attemptsRunning;
   private long purgedUs;
   private int asks;
@@ -112,7 +111,9 @@
     this.deliveryClient = deliveryClient;
     this.random = new Random(seed);
     this.journal = new Journal(disk, "keeper.journal", options.node());
-    journal.replay(record -> recover(Frame.unpack(record)));
+    this.compaction = new JournalCompaction(journal);
+    this.copyPressure = new CopyPressure(clock);
+    replay();
     doubtLastEnds();
     if (diskId.isEmpty()) {
       fresh = true;
@@ -264,10 +265,46 @@
     return partitions.computeIfAbsent(number, Partition::new);
   }
 
-  private void recover(Frame record) {
+  private void replay() {
+    var recovery = new JournalRecovery(recoveryOwner(), UNTOLD_US, forgetUs());
+    journal.replay(record -> recover(recovery, Frame.unpack(record)));
+    var wanted = recovery.bodiesWanted();
+    if (!wanted.isEmpty()) {
+      journal.replay(record -> restoreBody(wanted, Frame.unpack(record)));
+    }
+  }
+
+  private JournalRecovery.Owner recoveryOwner() {
+    return new JournalRecovery.Owner() {
+      @Override
+      public void shedBody(Message message) {
+        shed(message);
+      }
+
+      @Override
+      public void forget(Message message) {
+        if (!keyCounts(message, message.endedUs + forgetUs())) {
+          drop(partition(message.partition), message.id);
+        }
+      }
+    };
+  }
+
+  private void restoreBody(Map<String, Message> wanted, Frame record) {
+    var message = wanted.get(record.text("i"));
+    if (message != null
+        && record.kind().equals("m")
+        && message.partition == record.small("l")
+        && message.body.length == 0) {
+      message.body = record.bytes("b");
+      liveBytes += message.body.length;
+    }
+  }
+
+  private void recover(JournalRecovery recovery, Frame record) {
     switch (record.kind()) {
       case "disk" -> diskId = record.text("id");
-      case "m", "u" -> upsert(partition(record.small("l")), record);
+      case "m", "u" -> upsert(partition(record.small("l")), record).ifPresent(recovery::read);
       case Receipt.KIND -> partition(record.small("l")).receipts.take(record);
       case "f" -> forget(partition(record.small("line")));
       case Message.REMOVAL -> drop(partition(record.small("line")), record.text("id"));
@@ -348,6 +385,7 @@
       purge();
       compact();
     }
+    compaction.step();
   }
 
   private void noteOwnTrouble(long nowUs) {
@@ -956,7 +994,7 @@
     }
     partition.low = Math.max(partition.low, seq - frame.number("w"));
     taken.ifPresent(each -> each.sequence = Math.max(each.sequence, seq));
-    var ok = Frame.of("ok").with("l", partition.number).with("s", seq);
+    var ok = Frame.of("ok").with("l", partition.number).with("s", seq).with("fu", !hasRoom());
     if (frame.flag("y")) {
       journal.append(record.pack(), () -> wire.send(from, ok));
     } else {
@@ -994,6 +1032,7 @@
       heardUs.clear();
     }
     heardUs.put(from, clock.steadyUs());
+    copyPressure.told(from, frame.flag("fu"));
     pending.owing.removeIf(node -> clusterLease.view().ipOf(node).equals(from));
     settle(partition, pending);
   }
@@ -1129,13 +1168,22 @@
     if (!partition.holds(record)) {
       return;
     }
+    var bodyBytes = record.bodyBytes();
     join.owed++;
+    join.owedBytes += bodyBytes;
     var absent = join.absent.contains(record.id());
     var bodiless = join.bodiless.contains(record.id());
     Supplier<Frame> transfer = () -> record.transfer(absent, bodiless);
     var pending =
         new PendingRecord(
-            ++partition.seq, transfer, true, () -> levelled(partition, join), clock.steadyUs());
+            ++partition.seq,
+            transfer,
+            true,
+            () -> {
+              join.owedBytes -= bodyBytes;
+              levelled(partition, join);
+            },
+            clock.steadyUs());
     pending.local = true;
     pending.owing.add(join.node);
     partition.pending.put(pending.sequence, pending);
@@ -1147,7 +1195,7 @@
     if (partition.peers.get(join.node) != join) {
       return;
     }
-    while (join.owed < HANDED_AT_ONCE && !join.missing.isEmpty()) {
+    while (mayHandOverMore(join) && !join.missing.isEmpty()) {
       handOver(partition, join, join.missing.iterator().next());
     }
     if (join.owed == 0) {
@@ -1162,6 +1210,22 @@
     }
   }
 
+  /** One record of a partition may always be under way, so that none waits for another for good. */
+  private boolean mayHandOverMore(JoiningReplica join) {
+    return join.owed == 0
+        || join.owed < HANDED_AT_ONCE && handedOverBytes() < StorageMemory.HANDED_OVER_BYTES_MOST;
+  }
+
+  private long handedOverBytes() {
+    var sum = 0L;
+    for (var partition : partitions.values()) {
+      for (var join : partition.peers.values()) {
+        sum += join.owedBytes;
+      }
+    }
+    return sum;
+  }
+
   private void onJoinDrop(Frame frame) {
     var partition = partition(frame.small("line"));
     if (frame.number("epoch") < partition.epoch || partition.open) {
@@ -1208,8 +1272,13 @@
   private boolean takesNew(Partition partition) {
     return partition.whole()
         && !(leaving && !partition.place.primary().equals(id))
-        && liveBytes <= LIVE_BYTES_MOST
-        && liveMessages() <= MESSAGES_MOST;
+        && hasRoom()
+        && partition.peers.keySet().stream()
+            .noneMatch(node -> copyPressure.isFull(clusterLease.view().ipOf(node)));
+  }
+
+  private boolean hasRoom() {
+    return memory.hasRoom(liveBytes, liveMessages(), journal.unsyncedBytes());
   }
 
   /** Whether a configuration no older than the edge node's has no route for the hand-in. */
@@ -2695,7 +2764,7 @@
   }
 
   private void purge() {
-    var oldUs = clusterLease.coreUs() - options.statusUs() - 10_000_000;
+    var oldUs = clusterLease.coreUs() - forgetUs();
     var nowUs = clusterLease.coreUs();
     for (var partition : partitions.values()) {
       partition.messages().stream()
@@ -2728,29 +2797,20 @@
     }
   }
 
+  /** How long after its end a message is forgotten. */
+  private long forgetUs() {
+    return options.statusUs() + FORGET_SLACK_US;
+  }
+
   /** Whether a repeat of the message's key may still come. */
   private boolean keyCounts(Message message, long nowUs) {
     return message.keyed() && nowUs < message.acceptedUs + options.receipts().keepUs();
   }
 
   private void compact() {
-    if (rewriting || journal.bytesLong() < Math.max(LONG_JOURNAL, 2 * rewrittenBytes)) {
-      return;
+    if (compaction.due()) {
+      compaction.start(Frame.of("disk").with("id", diskId).pack(), partitions.values());
     }
-    rewriting = true;
-    var records = new ArrayList<byte[]>();
-    records.add(Frame.of("disk").with("id", diskId).pack());
-    partitions.values().stream()
-        .flatMap(partition -> partition.records().stream())
-        .forEach(record -> records.add(record.whole().pack()));
-    rewrittenBytes = records.stream().mapToLong(record -> record.length).sum();
-    journal.rewrite(
-        records,
-        () -> {
-          synchronized (this) {
-            rewriting = false;
-          }
-        });
   }
 
   public synchronized void leave() {
--- a/src/main/java/wellwheel/replication/ReplicatedRecord.java
+++ b/src/main/java/wellwheel/replication/ReplicatedRecord.java
@@ -34,6 +34,11 @@
    */
   public abstract Frame transfer(boolean absent, boolean bodiless);
 
+  /** Bytes of the body that a transfer may carry. */
+  public int bodyBytes() {
+    return 0;
+  }
+
   /** Whether a copy of the same version may still lack what was replicated without a sync. */
   public boolean mayLag() {
     return false;
--- a/src/main/java/wellwheel/storage/FileDisk.java
+++ b/src/main/java/wellwheel/storage/FileDisk.java
@@ -20,13 +20,27 @@
   private static final System.Logger LOG = System.getLogger("disk");
   private static final int BATCH = 512;
 
-  private record Work(String name, byte[] bytes, boolean whole, Runnable synced) {}
+  private static final int COPY_BYTES = 64 << 10;
+  private static final byte[] NOTHING = {};
+
+  private enum Kind {
+    APPEND,
+    START_REWRITE,
+    EXTEND_REWRITE,
+    FINISH_REWRITE,
+    REPLACE,
+    CUT
+  }
+
+  /** A step for the writing thread; the length matters to a cut alone. */
+  private record Work(String name, Kind kind, byte[] bytes, long length, Runnable done) {}
 
   private final Volume volume;
   private final Executor loop;
   private final MpscBlockingConsumerArrayQueue<Work> queue =
       new MpscBlockingConsumerArrayQueue<>(1 << 16);
   private final Map<String, Volume.Handle> files = new HashMap<>();
+  private final Map<String, Volume.Handle> rewrites = new HashMap<>();
   private final Set<String> loaded = new HashSet<>();
   private final Object writing = new Object();
 
@@ -54,19 +68,35 @@
   public byte[] load(String name) {
     try {
       synchronized (writing) {
-        if (!volume.exists(name)) {
-          return new byte[0];
-        }
-        if (loaded.add(name) && !files.containsKey(name)) {
-          makeLasting(name);
-        }
-        return volume.read(name);
+        return exists(name) ? volume.read(name) : NOTHING;
       }
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
   }
 
+  @Override
+  public ByteSource open(String name) {
+    try {
+      synchronized (writing) {
+        return exists(name) ? volume.open(name) : ByteSource.of(NOTHING);
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Whether there is such a file; what it holds is made lasting before it is first read. */
+  private boolean exists(String name) throws IOException {
+    if (!volume.exists(name)) {
+      return false;
+    }
+    if (loaded.add(name) && !files.containsKey(name)) {
+      makeLasting(name);
+    }
+    return true;
+  }
+
   private void makeLasting(String name) throws IOException {
     try (var file = volume.appending(name)) {
       file.sync(true);
@@ -76,12 +106,33 @@
 
   @Override
   public void append(String name, byte[] bytes, Runnable synced) {
-    enqueue(new Work(name, bytes, false, synced));
+    enqueue(new Work(name, Kind.APPEND, bytes, 0, synced));
   }
 
   @Override
   public void rewrite(String name, byte[] whole, Runnable synced) {
-    enqueue(new Work(name, whole, true, synced));
+    enqueue(new Work(name, Kind.REPLACE, whole, 0, synced));
+  }
+
+  @Override
+  public void cut(String name, long length, Runnable synced) {
+    enqueue(new Work(name, Kind.CUT, NOTHING, length, synced));
+  }
+
+  @Override
+  public Rewrite startRewrite(String name) {
+    enqueue(new Work(name, Kind.START_REWRITE, NOTHING, 0, () -> {}));
+    return new Rewrite() {
+      @Override
+      public void append(byte[] bytes, Runnable written) {
+        enqueue(new Work(name, Kind.EXTEND_REWRITE, bytes, 0, written));
+      }
+
+      @Override
+      public void finish(Runnable synced) {
+        enqueue(new Work(name, Kind.FINISH_REWRITE, NOTHING, 0, synced));
+      }
+    };
   }
 
   private void enqueue(Work work) {
@@ -113,7 +164,7 @@
     batch.add(first);
     queue.drain(batch::add, BATCH);
     write(batch);
-    loop.execute(() -> batch.forEach(work -> LoopClock.guarded(work.synced())));
+    loop.execute(() -> batch.forEach(work -> LoopClock.guarded(work.done())));
   }
 
   private static void fail(Throwable e) {
@@ -124,12 +175,27 @@
   private void write(List<Work> batch) throws IOException {
     var dirty = new HashSet<String>();
     for (var work : batch) {
-      if (work.whole()) {
-        replace(work);
-        dirty.remove(work.name());
-      } else {
-        append(work);
-        dirty.add(work.name());
+      switch (work.kind()) {
+        case APPEND -> {
+          append(work);
+          dirty.add(work.name());
+        }
+        case START_REWRITE -> startRewriting(work.name());
+        case EXTEND_REWRITE -> rewrites.get(work.name()).write(ByteBuffer.wrap(work.bytes()));
+        case FINISH_REWRITE -> {
+          finishRewriting(work.name());
+          dirty.remove(work.name());
+        }
+        case REPLACE -> {
+          startRewriting(work.name()).write(ByteBuffer.wrap(work.bytes()));
+          finishRewriting(work.name());
+          dirty.remove(work.name());
+        }
+        case CUT -> {
+          copyPrefix(work.name(), work.length());
+          finishRewriting(work.name());
+          dirty.remove(work.name());
+        }
       }
     }
     for (var name : dirty) {
@@ -157,18 +223,39 @@
     return file;
   }
 
-  private void replace(Work work) throws IOException {
-    var fresh = work.name() + ".new";
-    try (var file = volume.fresh(fresh)) {
-      file.write(ByteBuffer.wrap(work.bytes()));
-      file.sync(true);
+  private Volume.Handle startRewriting(String name) throws IOException {
+    var unfinished = rewrites.remove(name);
+    if (unfinished != null) {
+      unfinished.close();
+    }
+    var fresh = volume.fresh(rewriteOf(name));
+    rewrites.put(name, fresh);
+    return fresh;
+  }
+
+  private static String rewriteOf(String name) {
+    return name + ".new";
+  }
+
+  private void copyPrefix(String name, long length) throws IOException {
+    var fresh = startRewriting(name);
+    try (var old = volume.open(name)) {
+      for (var done = 0L; done < length; done += COPY_BYTES) {
+        fresh.write(ByteBuffer.wrap(old.copy(done, (int) Math.min(COPY_BYTES, length - done))));
+      }
+    }
+  }
+
+  private void finishRewriting(String name) throws IOException {
+    try (var fresh = rewrites.remove(name)) {
+      fresh.sync(true);
     }
     synchronized (writing) {
-      var old = files.remove(work.name());
+      var old = files.remove(name);
       if (old != null) {
         old.close();
       }
-      volume.rename(fresh, work.name());
+      volume.rename(rewriteOf(name), name);
     }
     volume.syncNames();
   }
--- a/src/main/java/wellwheel/storage/JournalReader.java
+++ b/src/main/java/wellwheel/storage/JournalReader.java
@@ -2,7 +2,6 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.function.Consumer;
 import java.util.zip.CRC32;
 import wellwheel.runtime.ResultCode;
@@ -16,22 +15,20 @@
   private static final int NUMBER_MOST = 5;
   private static final long SEARCH_MOST = 1L << 28;
 
-  private final byte[] bytes;
-  private final ByteBuffer buffer;
+  private final ByteSource bytes;
   private final String name;
   private final String owner;
-  private int at;
+  private long at;
   private long number;
-  private int body;
+  private long body;
   private int length;
-  private int back;
-  private int soundEnd;
+  private long back;
+  private long soundEnd;
   private int records;
   private boolean formatted;
 
-  JournalReader(byte[] bytes, String name, String owner) {
+  JournalReader(ByteSource bytes, String name, String owner) {
     this.bytes = bytes;
-    this.buffer = ByteBuffer.wrap(bytes);
     this.name = name;
     this.owner = owner;
     readSound();
@@ -86,7 +83,7 @@
     out.put((byte) left);
   }
 
-  int soundEnd() {
+  long soundEnd() {
     return soundEnd;
   }
 
@@ -99,19 +96,19 @@
   }
 
   boolean cut() {
-    return soundEnd < bytes.length;
+    return soundEnd < bytes.length();
   }
 
   void each(Consumer<byte[]> reader) {
     at = 0;
     while (at < soundEnd) {
-      if (bytes[at] == MARK) {
+      if (bytes.at(at) == MARK) {
         frameSealed();
       } else {
         framePlain();
       }
-      if (bytes[at] == MARK || !isFormat()) {
-        reader.accept(Arrays.copyOfRange(bytes, body, body + length));
+      if (bytes.at(at) == MARK || !isFormat()) {
+        reader.accept(bytes.copy(body, length));
       }
       at = body + length;
     }
@@ -119,8 +116,8 @@
 
   boolean syncedDamaged() {
     var searched = 0L;
-    for (at = soundEnd + 1; at < bytes.length; at++) {
-      if (bytes[at] != MARK || !frameSealed()) {
+    for (at = soundEnd + 1; at < bytes.length(); at++) {
+      if (bytes.at(at) != MARK || !frameSealed()) {
         continue;
       }
       searched += length;
@@ -139,8 +136,8 @@
 
   private void readSound() {
     var sealedOnly = false;
-    while (at < bytes.length) {
-      var sealed = bytes[at] == MARK;
+    while (at < bytes.length()) {
+      var sealed = bytes.at(at) == MARK;
       if (sealed
           ? !frameSealed() || !soundSealed()
           : sealedOnly || !framePlain() || !soundPlain()) {
@@ -159,17 +156,17 @@
   }
 
   private boolean isFormat() {
-    return bytes[body] == MARK;
+    return bytes.at(body) == MARK;
   }
 
   private void checkFormat() {
-    var version = length > 1 ? bytes[body + 1] : 0;
+    var version = length > 1 ? bytes.at(body + 1) : 0;
     if (version != VERSION) {
       throw new Journal.Unreadable(
           ResultCode.BAD_STATE,
           name + " is of version " + version + ", this program reads up to " + VERSION);
     }
-    var found = new String(bytes, body + 2, length - 2, StandardCharsets.UTF_8);
+    var found = new String(bytes.copy(body + 2, length - 2), StandardCharsets.UTF_8);
     if (!found.isEmpty() && !owner.isEmpty() && !found.equals(owner)) {
       throw new Journal.Unreadable(
           ResultCode.JOURNAL_FOREIGN,
@@ -178,47 +175,61 @@
   }
 
   private boolean framePlain() {
-    if (bytes.length - at < PLAIN_HEAD) {
+    if (bytes.length() - at < PLAIN_HEAD) {
       return false;
     }
-    length = buffer.getInt(at);
+    length = intAt(at);
     body = at + PLAIN_HEAD;
-    return length > 0 && length <= bytes.length - body;
+    return length > 0 && length <= bytes.length() - body;
   }
 
   private boolean soundPlain() {
-    return buffer.getInt(at + SUM_BYTES) == sumOf(bytes, 0, 0, bytes, body, length);
+    return intAt(at + SUM_BYTES) == sumOf(at, 0, body, length);
   }
 
   private boolean frameSealed() {
     var next = readNumber(at + 1);
     var size = number;
     next = readNumber(next);
-    if (size <= 0 || number < 0 || number > at || next + SUM_BYTES + size > bytes.length) {
+    if (size <= 0 || number < 0 || number > at || next + SUM_BYTES + size > bytes.length()) {
       return false;
     }
     length = (int) size;
-    back = (int) number;
+    back = number;
     body = next + SUM_BYTES;
     return true;
   }
 
   private boolean soundSealed() {
     var head = body - SUM_BYTES;
-    return buffer.getInt(head)
-        == (sumOf(bytes, at, head - at, bytes, body, length) ^ scrambled(at));
+    return intAt(head) == (sumOf(at, (int) (head - at), body, length) ^ scrambled(at));
   }
 
-  private int readNumber(int from) {
+  private int intAt(long position) {
+    var value = 0;
+    for (var step = 0; step < Integer.BYTES; step++) {
+      value = value << Byte.SIZE | bytes.at(position + step) & 0xff;
+    }
+    return value;
+  }
+
+  private int sumOf(long from, int count, long start, int size) {
+    var sum = new CRC32();
+    bytes.addTo(sum, from, count);
+    bytes.addTo(sum, start, size);
+    return (int) sum.getValue();
+  }
+
+  private long readNumber(long from) {
     number = 0;
-    for (var step = 0; step < NUMBER_MOST && from + step < bytes.length; step++) {
-      var each = bytes[from + step];
+    for (var step = 0; step < NUMBER_MOST && from + step < bytes.length(); step++) {
+      var each = bytes.at(from + step);
       number |= (each & 0x7FL) << 7 * step;
       if (each >= 0) {
         return from + step + 1;
       }
     }
     number = -1;
-    return bytes.length;
+    return bytes.length();
   }
 }
--- a/src/main/java/wellwheel/storage/Volume.java
+++ b/src/main/java/wellwheel/storage/Volume.java
@@ -15,6 +15,11 @@
 
   byte[] read(String name) throws IOException;
 
+  /** The contents of a file, to be closed by the caller. */
+  default ByteSource open(String name) throws IOException {
+    return ByteSource.of(read(name));
+  }
+
   Handle appending(String name) throws IOException;
 
   Handle fresh(String name) throws IOException;
@@ -45,6 +50,11 @@
       return Files.readAllBytes(folder.resolve(name));
     }
 
+    @Override
+    public ByteSource open(String name) throws IOException {
+      return ByteSource.of(FileChannel.open(folder.resolve(name), StandardOpenOption.READ));
+    }
+
     @Override
     public Handle appending(String name) throws IOException {
       return new Open(
--- /dev/null
+++ b/src/test/java/wellwheel/queue/StorageBoundsTest.java
@@ -0,0 +1,203 @@
+package wellwheel.queue;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import wellwheel.storage.Disk;
+import wellwheel.storage.Journal;
+import wellwheel.transport.Frame;
+
+/** What a storage node does when it, or a copy, holds as much as it may: refuse, and take again. */
+class StorageBoundsTest extends StorageNodeFixture {
+  private static final String EDGE = "10.0.0.9";
+  private static final int BODY_BYTES = 1 << 20;
+
+  private void put(String id, int bodyBytes) {
+    node.onFrame(
+        EDGE,
+        Frame.of("put")
+            .with("l", 0)
+            .with("rid", 4)
+            .with("i", id)
+            .with("t", "t")
+            .with("h", "h")
+            .with("m", "POST")
+            .with("p", "/x")
+            .with("keep", 90_000_000L)
+            .with("b", new byte[bodyBytes]));
+  }
+
+  private String handIn(String id, int bodyBytes) {
+    sentToControl.clear();
+    put(id, bodyBytes);
+    copyAcknowledges();
+    return sentToControl.stream()
+        .filter(frame -> frame.kind().equals("put.ok"))
+        .map(frame -> frame.text("r"))
+        .findFirst()
+        .orElse("none");
+  }
+
+  private void copySaysFull(boolean full) {
+    for (var frame : other("rep")) {
+      sentToOther.remove(frame);
+      node.onFrame(
+          OTHER,
+          Frame.of("ok").with("l", frame.small("l")).with("s", frame.number("s")).with("fu", full));
+    }
+  }
+
+  @Test
+  void whatWaitsForAStalledDiskCountsAsHeld() {
+    stalled = true;
+    IntStream.range(0, 60).forEach(n -> handIn("b" + n, BODY_BYTES));
+    assertThat(handIn("c", 1)).isEqualTo("no");
+    stalled = false;
+    List.copyOf(unsynced).forEach(Runnable::run);
+    assertThat(handIn("d", 1)).isEqualTo("kept");
+  }
+
+  @Test
+  void aPrimaryTakesNothingNewWhileACopyIsFullAndAsksItAgainAfterASecond() {
+    put("m2", 1);
+    copySaysFull(true);
+    assertThat(handIn("m3", 1)).isEqualTo("no");
+    nowUs += CopyPressure.FULL_US;
+    assertThat(handIn("m4", 1)).isEqualTo("kept");
+    assertThat(handIn("m5", 1)).isEqualTo("kept");
+  }
+
+  @Test
+  void aFullCopyStillTakesAndSaysThatItIsFull() {
+    news(partition(2, List.of("other#1", node.id()), "", 2, 2));
+    sentToOther.clear();
+    for (var number = 0; number < 70; number++) {
+      var record =
+          new Frame()
+              .with("k", "m")
+              .with("l", 0)
+              .with("i", "b" + number)
+              .with("v", 2L << 20)
+              .with("ep", 2)
+              .with("b", new byte[BODY_BYTES]);
+      node.onFrame(
+          OTHER,
+          Frame.of("rep")
+              .with("l", 0)
+              .with("e", 2L)
+              .with("s", (2L << 32) + number + 1)
+              .with("y", true)
+              .with("c", record));
+    }
+    var acknowledged = other("ok");
+    assertThat(acknowledged).hasSize(70);
+    assertThat(acknowledged.get(0).flag("fu")).isFalse();
+    assertThat(acknowledged.get(69).flag("fu")).isTrue();
+  }
+
+  @Test
+  void aHandOverKeepsTheBytesUnderWayBounded() {
+    IntStream.range(0, 40).forEach(n -> handIn("b" + n, BODY_BYTES));
+    sentToOther.clear();
+    news(partition(2, List.of(node.id()), "other#1", 1, 2));
+    node.onFrame(
+        OTHER, Frame.of("join.have").with("line", 0).with("epoch", 2).with("from", "other#1"));
+    assertThat(other("rep").size()).isAtMost(9);
+    var handedOver = 0;
+    while (!other("rep").isEmpty()) {
+      handedOver += other("rep").size();
+      copyAcknowledges();
+    }
+    assertThat(handedOver).isEqualTo(41);
+  }
+
+  private static Frame change(int state, long endedUs, long revision) {
+    return new Frame()
+        .with("k", "u")
+        .with("l", 0)
+        .with("i", "m1")
+        .with("st", state)
+        .with("en", endedUs)
+        .with("v", revision)
+        .with("ep", 1);
+  }
+
+  private static Frame whole(String id, long acceptedUs) {
+    return new Frame()
+        .with("k", "m")
+        .with("l", 0)
+        .with("i", id)
+        .with("t", "t")
+        .with("h", "h")
+        .with("a", acceptedUs)
+        .with("x", 900_000_000L)
+        .with("b", "the body".getBytes());
+  }
+
+  private void journalHolds(Frame... records) {
+    var file = new ByteArrayOutputStream();
+    Disk writer =
+        new Disk() {
+          @Override
+          public byte[] load(String name) {
+            return file.toByteArray();
+          }
+
+          @Override
+          public void append(String name, byte[] bytes, Runnable synced) {
+            file.writeBytes(bytes);
+            synced.run();
+          }
+
+          @Override
+          public void rewrite(String name, byte[] all, Runnable synced) {
+            throw new UnsupportedOperationException();
+          }
+        };
+    var journal = new Journal(writer, "keeper.journal", "me");
+    for (var record : records) {
+      journal.append(record.pack(), () -> {});
+    }
+    files.put("keeper.journal", file.toByteArray());
+  }
+
+  private String body() {
+    sentToControl.clear();
+    node.onFrame(
+        EDGE,
+        Frame.of("look")
+            .with("rid", 7)
+            .with("line", 0)
+            .with("id", "m1")
+            .with("tenant", "t")
+            .with("host", "h")
+            .with("body", true));
+    return new String(sentToControl.get(0).bytes("body"));
+  }
+
+  @Test
+  void bodiesOfMessagesThatEndedWellAreGivenUpWhileTheJournalIsRead() throws Exception {
+    journalHolds(whole("m1", 1_000_000), change(1, 2_000_000, 1), whole("m2", 9_000_000));
+    start(false);
+    assertThat(body()).isEmpty();
+  }
+
+  @Test
+  void aMessageThatWaitsAgainLaterInTheJournalGetsItsBodyBack() throws Exception {
+    journalHolds(
+        whole("m1", 1_000_000), change(1, 2_000_000, 1), whole("m2", 9_000_000), change(0, 0, 2));
+    start(false);
+    assertThat(body()).isEqualTo("the body");
+  }
+
+  @Test
+  void endedMessagesPastTheirTimeAreForgottenWhileTheJournalIsRead() throws Exception {
+    journalHolds(
+        whole("m1", 1_000_000), change(1, 2_000_000, 1), whole("m2", 500_000_000), change(0, 0, 0));
+    start(false);
+    assertThat(node.liveMessages()).isEqualTo(1);
+  }
+}
--- a/src/test/java/wellwheel/storage/FileDiskTest.java
+++ b/src/test/java/wellwheel/storage/FileDiskTest.java
@@ -347,6 +347,67 @@
     }
   }
 
+  /** Every record is kept by the compaction or appended beside it, at whatever step it stops. */
+  private static int compactingLife(
+      Model volume, Random random, List<Integer> all, int sure, String seed) throws IOException {
+    var disk = new FileDisk(volume, Runnable::run);
+    var journal = new Journal(disk, "a", "me");
+    var found = new ArrayList<Integer>();
+    var replay = journal.replay(record -> found.add(ByteBuffer.wrap(record).getInt()));
+    assertWithMessage(seed).that(replay.syncedDamaged()).isFalse();
+    assertWithMessage(seed).that(found).containsAtLeastElementsIn(all.subList(0, sure));
+    all.retainAll(found);
+    var surely = new int[] {all.size()};
+    try {
+      var kept = List.copyOf(all).iterator();
+      var compaction = journal.compact();
+      for (var round = 0; round < 14; round++) {
+        if (kept.hasNext() && random.nextBoolean()) {
+          compaction.keep(packed(kept.next(), random));
+        }
+        all.add(random.nextInt());
+        var count = all.size();
+        journal.append(
+            packed(all.get(count - 1), random), () -> surely[0] = Math.max(surely[0], count));
+        if (random.nextInt(3) > 0) {
+          disk.writeQueued();
+        }
+      }
+      while (kept.hasNext()) {
+        compaction.keep(packed(kept.next(), random));
+      }
+      compaction.finish(() -> {});
+      all.add(random.nextInt());
+      journal.append(packed(all.get(all.size() - 1), random), () -> surely[0] = all.size());
+      disk.writeQueued();
+      assertThat(journal.unsyncedBytes()).isEqualTo(0);
+    } catch (Stopped stopped) {
+      assertThat(volume.stepsLeft).isLessThan(0);
+    }
+    return surely[0];
+  }
+
+  @Test
+  void aJournalThatIsCompactedPieceByPieceLosesNothingWhereverItStops() throws IOException {
+    for (var seed = 0; seed < SEEDS; seed++) {
+      var random = new Random(seed);
+      var volume = new Model(random);
+      var all = new ArrayList<Integer>();
+      var sure = 0;
+      for (var life = 0; life < 6; life++) {
+        volume.stepsLeft = random.nextInt(120);
+        try {
+          sure = compactingLife(volume, random, all, sure, "seed " + seed + " life " + life);
+        } catch (UncheckedIOException stopped) {
+          assertThat(volume.stepsLeft).isLessThan(0);
+        }
+        if (random.nextInt(3) > 0) {
+          volume.losePower();
+        }
+      }
+    }
+  }
+
   @Test
   void callbacksComeInOrderFromRealFilesWhileBothThreadsWork(@TempDir Path folder)
       throws Exception {
--- a/src/test/java/wellwheel/storage/JournalTest.java
+++ b/src/test/java/wellwheel/storage/JournalTest.java
@@ -69,6 +69,24 @@
     assertThat(journal.bytesLong()).isEqualTo(disk.bytes.length);
   }
 
+  @Test
+  void aCompactedJournalHoldsWhatWasKeptAndWhatCameMeanwhile() {
+    var disk = new MemoryDisk();
+    var journal = new Journal(disk, "j", "me");
+    journal.append("gone".getBytes(), () -> {});
+    var compaction = journal.compact();
+    compaction.keep("kept 1".getBytes());
+    journal.append("meanwhile".getBytes(), () -> {});
+    assertThat(replayed(disk)).containsExactly("gone", "meanwhile").inOrder();
+    compaction.keep("kept 2".getBytes());
+    compaction.finish(() -> {});
+    journal.append("after".getBytes(), () -> {});
+    assertThat(replayed(disk)).containsExactly("kept 1", "meanwhile", "kept 2", "after").inOrder();
+    assertThat(journal.bytesLong()).isEqualTo(disk.bytes.length);
+    journal.compact();
+    assertThrows(IllegalStateException.class, journal::compact);
+  }
+
   private static final class Late implements Disk {
     private final ByteArrayOutputStream file = new ByteArrayOutputStream();
     private final List<Integer> ends = new ArrayList<>();
