A queued message whose KeepForS is over ends though no processor ever asks for it

Callers saw: nothing wrong with the message itself, but a service without processors kept its messages "waiting" for good, and with them the room of the storage node: once full it went on to refuse with 503 after all of it had expired.

Cause: the second look at expired messages left out those that stand in a dispatcher's queue, and the queue looks at them only when a processor or worker is there to take one.

Fix: the second look takes expired messages out of the queues and ends them.

Evidence: StorageBoundsTest.aFullNodeRefusesAndTakesAgainOnceBodiesAreGone failed before (the hand-in after the expiry was refused).

--- a/src/main/java/wellwheel/queue/StorageNode.java
+++ b/src/main/java/wellwheel/queue/StorageNode.java
@@ -2785,18 +2785,27 @@
           .forEach(old -> drop(partition, old));
       partition.receipts.purge(nowUs);
       if (partition.open) {
-        List.copyOf(partition.messages()).stream()
-            .filter(
-                message ->
-                    message.waiting()
-                        && !message.running
-                        && !message.queued
-                        && nowUs >= message.expireUs)
-            .forEach(message -> arrange(partition, message));
+        endExpired(partition, nowUs);
       }
     }
   }
 
+  /** Ends what has waited too long, also where no processor ever asked for it. */
+  private void endExpired(Partition partition, long nowUs) {
+    var expired =
+        partition.messages().stream()
+            .filter(message -> message.waiting() && !message.running && nowUs >= message.expireUs)
+            .toList();
+    if (expired.stream().anyMatch(message -> message.queued)) {
+      removeFromDispatchers(
+          message ->
+              message.partition == partition.number
+                  && message.waiting()
+                  && nowUs >= message.expireUs);
+    }
+    expired.forEach(message -> arrange(partition, message));
+  }
+
   /** How long after its end a message is forgotten. */
   private long forgetUs() {
     return options.statusUs() + FORGET_SLACK_US;
--- a/src/test/java/wellwheel/queue/StorageBoundsTest.java
+++ b/src/test/java/wellwheel/queue/StorageBoundsTest.java
@@ -50,6 +50,21 @@
     }
   }
 
+  @Test
+  void aFullNodeRefusesAndTakesAgainOnceBodiesAreGone() {
+    var taken =
+        IntStream.range(0, 80).filter(n -> handIn("b" + n, BODY_BYTES).equals("kept")).count();
+    assertThat(taken).isEqualTo(64);
+    assertThat(handIn("c", 1)).isEqualTo("no");
+    nowUs += 300_000_000;
+    node.tick();
+    copyAcknowledges();
+    nowUs += 300_000_000;
+    node.tick();
+    copyAcknowledges();
+    assertThat(handIn("d", BODY_BYTES)).isEqualTo("kept");
+  }
+
   @Test
   void whatWaitsForAStalledDiskCountsAsHeld() {
     stalled = true;
