--- a/src/main/java/wellwheel/cluster/ClusterLease.java
+++ b/src/main/java/wellwheel/cluster/ClusterLease.java
@@ -1,6 +1,5 @@
 package wellwheel.cluster;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -22,8 +21,7 @@
   private final String id;
   private final Supplier<Frame> introduction;
   private final Runnable onNews;
-  private final List<String> controlNodes = new ArrayList<>();
-  private int guess;
+  private final ControlAddresses controlNodes;
   private long askedUs = Long.MIN_VALUE / 2;
   private boolean answered = true;
   private long confirmedUs = Long.MIN_VALUE / 2;
@@ -48,8 +46,7 @@
     this.id = id;
     this.introduction = introduction;
     this.onNews = onNews;
-    controlNodes.addAll(seeds);
-    guess = Math.floorMod(id.hashCode(), seeds.size());
+    controlNodes = new ControlAddresses(seeds, id.hashCode());
   }
 
   public Configuration configuration() {
@@ -69,7 +66,7 @@
   }
 
   public String control() {
-    return controlNodes.get(guess);
+    return controlNodes.current();
   }
 
   public long ageUs() {
@@ -90,7 +87,7 @@
       return;
     }
     if (!answered) {
-      guess = (guess + 1) % controlNodes.size();
+      controlNodes.next();
     }
     renew();
   }
@@ -146,17 +143,12 @@
     var offsetUs = frame.number("core") + (nowUs - confirmedUs) / 2 - nowUs;
     coreOffsetUs = offsetUs;
     coreKnown = true;
-    addControlNodes(frame.texts("voters"));
+    controlNodes.votersAre(frame.texts("voters"));
   }
 
-  public void addControlNodes(List<String> ips) {
-    ips.forEach(this::addControl);
-  }
-
-  private void addControl(String ip) {
-    if (!controlNodes.contains(ip) && controlNodes.size() < 16) {
-      controlNodes.add(ip);
-    }
+  /** Takes the seeds of a changed options file in place of the former ones. */
+  public void seedsAre(List<String> ips) {
+    controlNodes.seedsAre(ips);
   }
 
   private void redirect(String from, String leader) {
@@ -166,10 +158,8 @@
     if (leader.isEmpty()) {
       return;
     }
-    addControl(leader);
-    var index = controlNodes.indexOf(leader);
-    if (index >= 0 && index != guess) {
-      guess = index;
+    if (!leader.equals(control())) {
+      controlNodes.leaderIs(leader);
       if (!leader.equals(from)) {
         renew();
       }
--- a/src/main/java/wellwheel/edge/EdgeDaemon.java
+++ b/src/main/java/wellwheel/edge/EdgeDaemon.java
@@ -37,7 +37,7 @@
     links.open(node);
     entry.open();
     nodeRuntime.loop().execute(() -> LoopClock.guarded(node::tick));
-    nodeRuntime.onSeeds(node.clusterLease()::addControlNodes);
+    nodeRuntime.onSeeds(node.clusterLease()::seedsAre);
     nodeRuntime.onTerm(this::leave);
     LOG.log(System.Logger.Level.INFO, "edge node " + options.node() + " is up");
   }
--- a/src/main/java/wellwheel/functions/FrontDaemon.java
+++ b/src/main/java/wellwheel/functions/FrontDaemon.java
@@ -41,7 +41,7 @@
     links.open(node);
     entry.open();
     loop.execute(() -> LoopClock.guarded(node::tick));
-    nodeRuntime.onSeeds(node.clusterLease()::addControlNodes);
+    nodeRuntime.onSeeds(node.clusterLease()::seedsAre);
     nodeRuntime.onTerm(this::leave);
     LOG.log(System.Logger.Level.INFO, "front " + options.node() + " is up");
   }
--- a/src/main/java/wellwheel/queue/StorageDaemon.java
+++ b/src/main/java/wellwheel/queue/StorageDaemon.java
@@ -36,7 +36,7 @@
             new SecureRandom().nextLong());
     links.open(node);
     nodeRuntime.clock().every(TICK_US, node::tick);
-    nodeRuntime.onSeeds(node.clusterLease()::addControlNodes);
+    nodeRuntime.onSeeds(node.clusterLease()::seedsAre);
     nodeRuntime.onTerm(this::leave);
     LOG.log(
         System.Logger.Level.INFO,
