Model disk: damage only in what a later record proves to have been synced

The model disk now keeps what this life of the process was told is synced, and which of that a later synced record was begun after. Damage falls anywhere in that, also in the last quarter, which the former check left out; a disk that can prove nothing yet is lost whole.

--- a/src/test/java/wellwheel/control/ModelDisk.java
+++ b/src/test/java/wellwheel/control/ModelDisk.java
@@ -18,12 +18,24 @@
     void call(int life, Runnable task);
   }
 
-  private record Work(String name, byte[] bytes, boolean whole, Runnable synced, int life) {}
+  /**
+   * A write that waits; what was confirmed as synced when it was begun is proven by its record.
+   *
+   * @param confirmed bytes of the file that were confirmed as synced when the write was begun
+   */
+  private record Work(
+      String name, byte[] bytes, boolean whole, Runnable synced, int life, int confirmed) {}
 
   private static final class Content {
     ByteArrayOutputStream synced = new ByteArrayOutputStream();
     final List<byte[]> loose = new ArrayList<>();
 
+    /** So many bytes this life of the process was told are synced. */
+    int confirmed;
+
+    /** So many bytes were synced and confirmed before a later write that is synced was begun. */
+    int proven;
+
     byte[] whole() {
       var out = new ByteArrayOutputStream();
       out.writeBytes(synced.toByteArray());
@@ -40,6 +52,8 @@
       loose.clear();
       synced = new ByteArrayOutputStream();
       synced.writeBytes(bytes);
+      confirmed = 0;
+      proven = 0;
     }
   }
 
@@ -74,6 +88,7 @@
   }
 
   Disk bind(int life) {
+    files.values().forEach(file -> file.confirmed = 0);
     return new Disk() {
       @Override
       public byte[] load(String name) {
@@ -82,12 +97,12 @@
 
       @Override
       public void append(String name, byte[] bytes, Runnable synced) {
-        enqueue(new Work(name, bytes, false, synced, life));
+        enqueue(new Work(name, bytes, false, synced, life, file(name).confirmed));
       }
 
       @Override
       public void rewrite(String name, byte[] whole, Runnable synced) {
-        enqueue(new Work(name, whole, true, synced, life));
+        enqueue(new Work(name, whole, true, synced, life, 0));
       }
     };
   }
@@ -119,12 +134,29 @@
     batch.clear();
     done.forEach(this::write);
     done.forEach(work -> file(work.name()).sync());
-    done.forEach(work -> host.call(work.life(), work.synced()));
+    done.stream().filter(work -> !work.whole()).forEach(this::proves);
+    done.forEach(this::confirm);
     if (!queue.isEmpty() && batch.isEmpty()) {
       begin();
     }
   }
 
+  private void confirm(Work work) {
+    var file = file(work.name());
+    var length = file.synced.size();
+    host.call(
+        work.life(),
+        () -> {
+          file.confirmed = Math.max(file.confirmed, length);
+          work.synced().run();
+        });
+  }
+
+  private void proves(Work work) {
+    var file = file(work.name());
+    file.proven = Math.max(file.proven, Math.min(work.confirmed(), file.synced.size()));
+  }
+
   private void write(Work work) {
     if (work.whole()) {
       file(work.name()).become(work.bytes());
@@ -153,13 +185,22 @@
     files.clear();
   }
 
-  /** One byte of what had been synced is another, before its last quarter. */
+  /**
+   * One byte is another, somewhere in what a later record proves to have been synced: damage behind
+   * that cannot be told from a torn tail. Where nothing is proven the disk is lost whole.
+   */
   void damage() {
+    if (files.values().stream().anyMatch(file -> file.proven == 0 && file.synced.size() > 0)) {
+      wipe();
+      return;
+    }
     for (var file : files.values()) {
-      var bytes = file.synced.toByteArray();
-      if (bytes.length > 0) {
-        bytes[random.nextInt(1 + bytes.length * 3 / 4)] ^= (byte) (1 << random.nextInt(8));
+      var proven = file.proven;
+      if (proven > 0) {
+        var bytes = file.synced.toByteArray();
+        bytes[random.nextInt(proven)] ^= (byte) (1 << random.nextInt(8));
         file.become(bytes);
+        file.proven = proven;
       }
     }
   }
