--- a/src/main/java/wellwheel/control/ConfigurationChanges.java
+++ b/src/main/java/wellwheel/control/ConfigurationChanges.java
@@ -5,11 +5,9 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import wellwheel.config.Configuration;
 import wellwheel.config.ConfigurationPatch;
@@ -22,6 +20,8 @@
  */
 final class ConfigurationChanges {
   static final int TAKEN_MOST = 4096;
+  private static final int DIGEST_BYTES = 16;
+  private static final byte PATCH_MARK = 1;
   private static final System.Logger LOG = System.getLogger("orders");
   private static final byte[] NO_CONFIG =
       "{\"Revision\":0,\"Routing\":[],\"Backends\":[]}".getBytes(StandardCharsets.UTF_8);
@@ -42,8 +42,11 @@
   private final List<byte[]> unmerged = new ArrayList<>();
   private final ArrayDeque<Patch> patches = new ArrayDeque<>();
   private Configuration configuration = Configuration.NONE;
+
+  /** Digest of the change that was taken on top of each version. */
   private final TreeMap<Long, String> taken = new TreeMap<>();
-  private final Set<String> digests = new HashSet<>();
+
+  /** The newest version of which it is no longer known what was taken on top of it. */
   private long forgotten = -1;
 
   record Verdict(boolean proper, boolean provable, ControlNode.Reply reply) {
@@ -89,12 +92,13 @@
     return found;
   }
 
-  boolean tookEver(byte[] bytes) {
-    return digests.contains(digest(bytes));
+  /** Whether this very change was taken: a repeat has the same body and builds on the same base. */
+  private boolean took(Form form, byte[] bytes, long base) {
+    return digest(form, bytes).equals(taken.get(base));
   }
 
   Verdict judge(Form form, byte[] bytes, Optional<Long> base) {
-    if (tookEver(bytes)) {
+    if (base.isPresent() && took(form, bytes, base.get())) {
       return Verdict.sure(ControlNode.Reply.of(ResultCode.FINE));
     }
     if (form == Form.PATCH && base.isPresent() && base.get() != configuration.revision()) {
@@ -129,8 +133,9 @@
     return form == Form.PATCH ? configuration.patched(bytes) : Configuration.read(bytes);
   }
 
-  ControlNode.Reply outcome(byte[] bytes, long base) {
-    return tookEver(bytes) ? ControlNode.Reply.of(ResultCode.FINE) : loser(base);
+  /** What became of a change that went through the log. */
+  ControlNode.Reply outcome(Form form, byte[] bytes, long base) {
+    return took(form, bytes, base) ? ControlNode.Reply.of(ResultCode.FINE) : loser(base);
   }
 
   private ControlNode.Reply loser(long base) {
@@ -150,7 +155,7 @@
       if (next.revision() > configuration.revision()) {
         configuration = next;
         keep(form, base, bytes);
-        remember(base, digest(bytes));
+        remember(base, digest(form, bytes));
       }
     } catch (Configuration.Invalid e) {
       LOG.log(System.Logger.Level.ERROR, "refused at apply: " + e.getMessage());
@@ -176,11 +181,8 @@
 
   private void remember(long base, String digest) {
     taken.put(base, digest);
-    digests.add(digest);
     while (taken.size() > TAKEN_MOST) {
-      var oldest = taken.pollFirstEntry();
-      digests.remove(oldest.getValue());
-      forgotten = oldest.getKey();
+      forgotten = taken.pollFirstEntry().getKey();
     }
   }
 
@@ -206,25 +208,24 @@
           "a configuration that cannot be read: " + e.getMessage(), e);
     }
     taken.clear();
-    digests.clear();
     forgotten = state.number("forgotten") - 1;
     state
         .frames("orders")
         .forEach(
             row -> remember(row.number("base"), HexFormat.of().formatHex(row.bytes("digest"))));
-    restoreFormer(state.texts("taken"));
-  }
-
-  private void restoreFormer(List<String> former) {
-    if (!former.isEmpty()) {
-      digests.addAll(former);
+    if (!state.texts("taken").isEmpty()) {
       forgotten = configuration.revision() - 1;
     }
   }
 
-  private static String digest(byte[] bytes) {
+  /** A patch and a whole configuration of the same bytes are two different changes. */
+  private static String digest(Form form, byte[] bytes) {
     try {
-      return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes), 0, 16);
+      var sum = MessageDigest.getInstance("SHA-256");
+      if (form == Form.PATCH) {
+        sum.update(PATCH_MARK);
+      }
+      return HexFormat.of().formatHex(sum.digest(bytes), 0, DIGEST_BYTES);
     } catch (NoSuchAlgorithmException e) {
       throw new IllegalStateException(e);
     }
--- a/src/main/java/wellwheel/control/ControlNode.java
+++ b/src/main/java/wellwheel/control/ControlNode.java
@@ -1542,11 +1542,11 @@
             .with("bytes", bytes)
             .with("patch", form == ConfigurationChanges.Form.PATCH)
             .pack(),
-        done -> answer.accept(done ? outcome(bytes, base) : unclear()));
+        done -> answer.accept(done ? outcome(form, bytes, base) : unclear()));
   }
 
-  private synchronized Reply outcome(byte[] bytes, long base) {
-    return orders.outcome(bytes, base);
+  private synchronized Reply outcome(ConfigurationChanges.Form form, byte[] bytes, long base) {
+    return orders.outcome(form, bytes, base);
   }
 
   private synchronized Optional<Reply> gathering() {
