A call of a function that its owner has not heard of yet is tried again

Callers saw: 503 for calls of a function that was just added, from a front that knew it, while the function's owner had not got the configuration yet. The 503 was true (nothing had run), but the call was refused well within its time.

Fix: a call carries the revision that allowed it.

--- a/src/main/java/wellwheel/functions/FrontNode.java
+++ b/src/main/java/wellwheel/functions/FrontNode.java
@@ -183,7 +183,8 @@
             path.rank(),
             path.kind() == Configuration.Kind.SAFE,
             path.tries(),
-            leftUs);
+            leftUs,
+            clusterLease.configuration().revision());
     var number = ++lastNumber;
     var each = new Passed(exchange, call, nowUs + leftUs);
     passed.put(number, each);
@@ -245,7 +246,7 @@
     var service = clusterLease.configuration().service(call.service());
     var function = service.flatMap(Configuration.Service::function);
     if (function.isEmpty()) {
-      done.accept(new CallOutcome.Ended(ResultCode.NO_INSTANCE));
+      done.accept(withoutFunction(call));
       return;
     }
     retries.called(clock.steadyUs());
@@ -260,6 +261,15 @@
         });
   }
 
+  /**
+   * A function unknown here may be one of a configuration that has not come yet: not run, again.
+   */
+  private CallOutcome withoutFunction(FunctionCall call) {
+    return clusterLease.configuration().revision() < call.revision()
+        ? new CallOutcome.Moved()
+        : new CallOutcome.Ended(ResultCode.NO_INSTANCE);
+  }
+
   private FunctionPool poolOf(String service) {
     return pools.computeIfAbsent(
         service, name -> new FunctionPool(name, clock, client, new PoolHost()));
--- a/src/main/java/wellwheel/functions/FunctionCall.java
+++ b/src/main/java/wellwheel/functions/FunctionCall.java
@@ -13,6 +13,7 @@
  * @param repeatable whether it may run more than once
  * @param tries the most instances to which it may be sent
  * @param leftUs how much of its time is left
+ * @param revision revision of the configuration that allowed it
  */
 record FunctionCall(
     String service,
@@ -24,12 +25,23 @@
     int rank,
     boolean repeatable,
     int tries,
-    long leftUs) {
+    long leftUs,
+    long revision) {
   static final String KIND = "call";
 
   FunctionCall withLeft(long newLeftUs) {
     return new FunctionCall(
-        service, attemptId, method, target, fields, body, rank, repeatable, tries, newLeftUs);
+        service,
+        attemptId,
+        method,
+        target,
+        fields,
+        body,
+        rank,
+        repeatable,
+        tries,
+        newLeftUs,
+        revision);
   }
 
   Frame toFrame(long requestNumber) {
@@ -44,7 +56,8 @@
         .with("r", rank)
         .with("y", repeatable)
         .with("n", tries)
-        .with("u", leftUs);
+        .with("u", leftUs)
+        .with("cr", revision);
   }
 
   static FunctionCall read(Frame frame) {
@@ -58,6 +71,7 @@
         frame.small("r"),
         frame.flag("y"),
         frame.small("n"),
-        frame.number("u"));
+        frame.number("u"),
+        frame.number("cr"));
   }
 }
--- a/src/test/java/wellwheel/functions/FunctionPoolTest.java
+++ b/src/test/java/wellwheel/functions/FunctionPoolTest.java
@@ -66,7 +66,7 @@
   private void submit(String id, int rank, boolean repeatable, int tries, long leftUs) {
     var call =
         new FunctionCall(
-            "f", id, "POST", "/x", List.of(), new byte[0], rank, repeatable, tries, leftUs);
+            "f", id, "POST", "/x", List.of(), new byte[0], rank, repeatable, tries, leftUs, 1);
     pool.submit(call, outcome -> ends.add(id + " " + text(outcome)));
   }
 
