New seeds count without a signal as well, and at control nodes

Fix: each daemon looks at the time of the file's last change every 5 s and reads it again when it differs, by the same rules as at SIGHUP (an unusable file changes nothing and is logged). Control nodes take the seeds too, beside their voters.

--- a/src/main/java/wellwheel/config/NodeOptions.java
+++ b/src/main/java/wellwheel/config/NodeOptions.java
@@ -88,11 +88,16 @@
     }
   }
 
+  /** Where the options file is. */
+  public static Path path() {
+    return Path.of(
+        Optional.ofNullable(System.getenv("WELLWHEEL_CONFIG")).orElse("/etc/wellwheel/local.json"));
+  }
+
   public static NodeOptions load() throws Unusable {
-    var path =
-        Optional.ofNullable(System.getenv("WELLWHEEL_CONFIG")).orElse("/etc/wellwheel/local.json");
+    var path = path();
     try {
-      return read(Files.readString(Path.of(path)));
+      return read(Files.readString(path));
     } catch (IOException e) {
       throw new Unusable("cannot read " + path);
     }
--- a/src/main/java/wellwheel/consensus/Raft.java
+++ b/src/main/java/wellwheel/consensus/Raft.java
@@ -92,7 +92,7 @@
   private final Host host;
   private final Random random;
   private final int target;
-  private final List<String> seeds;
+  private List<String> seeds;
   private List<String> firstVoters = List.of();
   private List<String> voters = List.of();
   private List<String> learners = List.of();
@@ -278,6 +278,13 @@
     return term;
   }
 
+  /** Takes other addresses at which a leader may be looked for, beside those of the voters. */
+  public synchronized void seedsAre(List<String> ips) {
+    if (!ips.isEmpty()) {
+      seeds = List.copyOf(ips);
+    }
+  }
+
   public synchronized void learn() {
     if (role != Role.LEADER
         && (outside()
--- a/src/main/java/wellwheel/control/ControlDaemon.java
+++ b/src/main/java/wellwheel/control/ControlDaemon.java
@@ -69,6 +69,7 @@
     } else {
       nodeRuntime.clock().every(100_000, this::poll);
     }
+    nodeRuntime.onSeeds(node::seedsAre);
     nodeRuntime.onTerm(this::leave);
     LOG.log(System.Logger.Level.INFO, "control node " + options.node() + " is up");
   }
--- a/src/main/java/wellwheel/control/ControlNode.java
+++ b/src/main/java/wellwheel/control/ControlNode.java
@@ -1010,6 +1010,11 @@
     raft.learn();
   }
 
+  /** Takes the seeds of a changed options file in place of the former ones. */
+  public void seedsAre(List<String> ips) {
+    raft.seedsAre(ips);
+  }
+
   private long leaseUs(Holder holder) {
     return holder.member.role().equals("storage") ? STORAGE_CLAIM_US : options.revokeUs() - 500_000;
   }
--- a/src/main/java/wellwheel/runtime/NodeRuntime.java
+++ b/src/main/java/wellwheel/runtime/NodeRuntime.java
@@ -15,6 +15,7 @@
 public final class NodeRuntime {
   private static final System.Logger LOG = System.getLogger("runtime");
   public static final int BAD_OPTIONS_STATUS = 78;
+  private static final long OPTIONS_CHECK_US = 5_000_000;
 
   private final EventLoop loop;
   private final LoopClock clock;
@@ -71,8 +72,17 @@
     return clock;
   }
 
+  /** The taker gets the seeds of the options file whenever that has changed, signalled or not. */
   public void onSeeds(Consumer<List<String>> taker) {
     seedTaker = taker;
+    var change = new FileChange(NodeOptions.path());
+    clock.every(
+        OPTIONS_CHECK_US,
+        () -> {
+          if (change.happened()) {
+            reread();
+          }
+        });
   }
 
   public void onTerm(Runnable leave) {
--- a/src/test/java/wellwheel/consensus/RaftJournalTest.java
+++ b/src/test/java/wellwheel/consensus/RaftJournalTest.java
@@ -18,7 +18,7 @@
   private static final List<String> SEEDS = List.of("10.0.0.1", "10.0.0.2", "10.0.0.3");
   private static final int TERMS = 30;
 
-  private static final class Quiet implements Raft.Host {
+  static final class Quiet implements Raft.Host {
     @Override
     public void apply(long index, byte[] command) {}
 
