Large bodies are refused past a budget, they no longer fill an edge node's heap

Callers saw: 400 clients at once with 262,000 bytes each at one edge node while the storage nodes behind it were frozen: none got an answer, and the edge node answered nothing afterwards, with an OutOfMemoryError in its log (a trial with the quick start's processes on the former code; 400 of 400 without an answer).

A body also stood in a buffer that doubles and in a copy of it, and up to 32 MB waited for each peer whatever the heap.

Fix: BodyBudget bounds the bodies that a server holds, from their arrival until their requests are answered, by a quarter of the heap. A request beyond it is read to its end without being kept, answered 503 with code 3008 (not taken, never run), and the connection goes on; a single body is always taken. What may wait for one peer is an eighth of the heap, 32 MB at the most.

--- a/src/main/java/wellwheel/runtime/ResultCode.java
+++ b/src/main/java/wellwheel/runtime/ResultCode.java
@@ -31,6 +31,8 @@
   NO_INSTANCE(3005, 503, "no instance could take the request in its time; it was not run"),
   RUN_UNKNOWN(3006, 502, "the instance gave no whole answer; the request may have run"),
   OUT_OF_TIME(3007, 504, "no answer within the request's time; it may have run"),
+  BODIES_FULL(
+      3008, 503, "too many bytes of requests are held; this one was not taken and will never run"),
   BAD_CONFIG(4000, 400, "the configuration is invalid"),
   OTHER_BASE(4001, 412, "another version is current"),
   NO_NODE(4002, 404, "no such storage node"),
--- a/src/main/java/wellwheel/transport/HttpServer.java
+++ b/src/main/java/wellwheel/transport/HttpServer.java
@@ -28,7 +28,6 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -52,6 +51,7 @@
   private final Supplier<Configuration.Caps> caps;
   private final Consumer<Exchange> handler;
   private final int connectionsMost;
+  private final BodyBudget budget;
   private final Set<Handler> open = new HashSet<>();
   private boolean draining;
 
@@ -61,6 +61,23 @@
       Supplier<Configuration.Caps> caps,
       int connectionsMost,
       Consumer<Exchange> handler) {
+    this(
+        loop,
+        clock,
+        caps,
+        connectionsMost,
+        BodyBudget.ofHeap(Runtime.getRuntime().maxMemory()),
+        handler);
+  }
+
+  HttpServer(
+      EventLoop loop,
+      LoopClock clock,
+      Supplier<Configuration.Caps> caps,
+      int connectionsMost,
+      BodyBudget budget,
+      Consumer<Exchange> handler) {
+    this.budget = budget;
     this.loop = loop;
     this.clock = clock;
     this.caps = caps;
@@ -149,7 +166,7 @@
     private final ArrayDeque<Request> waiting = new ArrayDeque<>();
     private Optional<HttpRequest> head = Optional.empty();
     private Optional<Request> busy = Optional.empty();
-    private ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private IncomingBody body = new IncomingBody(budget);
     private long touchedUs = clock.steadyUs();
     private long headSinceUs = touchedUs;
     private boolean headBegun;
@@ -198,7 +215,7 @@
       }
       head = Optional.of(request);
       headBegun = false;
-      body = new ByteArrayOutputStream(256);
+      body = new IncomingBody(budget);
       if (HttpUtil.is100ContinueExpected(request) && busy.isEmpty()) {
         channel.writeAndFlush(
             new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -231,15 +248,14 @@
         return;
       }
       var bytes = content.content();
-      if (body.size() + bytes.readableBytes() > caps.get().bodyBytes()) {
+      if (body.received() + bytes.readableBytes() > caps.get().bodyBytes()) {
         breakOff(ResultCode.TOO_LARGE);
         return;
       }
-      var chunk = new byte[bytes.readableBytes()];
-      bytes.readBytes(chunk);
-      body.writeBytes(chunk);
+      body.add(bytes);
       if (content instanceof LastHttpContent) {
-        var request = new Request(this, head.get(), body.toByteArray());
+        var request = new Request(this, head.get(), body);
+        body = new IncomingBody(budget);
         head = Optional.empty();
         enqueue(request);
       }
@@ -247,6 +263,7 @@
 
     private void enqueue(Request request) {
       if (waiting.size() >= PIPELINE_MOST) {
+        request.release();
         breakOff(ResultCode.BAD_REQUEST);
         return;
       }
@@ -258,13 +275,23 @@
       while (busy.isEmpty() && !waiting.isEmpty() && !broken) {
         var request = waiting.poll();
         busy = Optional.of(request);
-        LoopClock.guarded(() -> handler.accept(request));
+        if (request.incoming.refused()) {
+          request.answer(Exchange.Answer.later(ResultCode.BODIES_FULL, 1));
+        } else {
+          LoopClock.guarded(() -> handler.accept(request));
+        }
       }
     }
 
+    private void dropWaiting() {
+      body.release();
+      waiting.forEach(Request::release);
+      waiting.clear();
+    }
+
     private void breakOff(ResultCode code) {
       broken = true;
-      waiting.clear();
+      dropWaiting();
       if (busy.isEmpty()) {
         write(Exchange.Answer.of(code).closing(), false, false);
       }
@@ -372,7 +399,7 @@
     public void channelInactive(ChannelHandlerContext context) {
       open.remove(this);
       busy.ifPresent(Request::closed);
-      waiting.clear();
+      dropWaiting();
     }
 
     @Override
@@ -385,13 +412,20 @@
   private static final class Request implements Exchange {
     private final Handler handler;
     private final HttpRequest head;
+    private final IncomingBody incoming;
     private final byte[] body;
     private Optional<Runnable> onClose = Optional.empty();
 
-    Request(Handler handler, HttpRequest head, byte[] body) {
+    Request(Handler handler, HttpRequest head, IncomingBody incoming) {
       this.handler = handler;
       this.head = head;
-      this.body = body;
+      this.incoming = incoming;
+      this.body = incoming.bytes();
+    }
+
+    /** The body is not held for this request any longer. */
+    private void release() {
+      incoming.release();
     }
 
     @Override
@@ -431,11 +465,13 @@
 
     @Override
     public void answer(Answer answer) {
+      release();
       handler.done(this, answer);
     }
 
     @Override
     public void relay(Relayed answer) {
+      release();
       handler.done(this, answer);
     }
 
--- a/src/main/java/wellwheel/transport/Links.java
+++ b/src/main/java/wellwheel/transport/Links.java
@@ -29,7 +29,13 @@
   private static final System.Logger LOG = System.getLogger("links");
   private static final int PROTOCOL = 1;
   private static final int FRAME_MOST = 64 << 20;
-  private static final long QUEUED_BYTES_MOST = 32L << 20;
+  private static final long QUEUED_BYTES_CEILING = 32L << 20;
+
+  /** The part of the heap that may wait for one peer. */
+  private static final int HEAP_PARTS = 8;
+
+  private static final long QUEUED_BYTES_MOST =
+      Math.min(QUEUED_BYTES_CEILING, Runtime.getRuntime().maxMemory() / HEAP_PARTS);
   private static final int CONNECT_MS = 400;
   private static final long REST_US = 100_000;
   private static final long PING_US = 200_000;
