--- a/src/main/java/wellwheel/queue/Message.java
+++ b/src/main/java/wellwheel/queue/Message.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import wellwheel.config.Configuration;
 import wellwheel.receipts.IdempotencyKey;
 import wellwheel.receipts.RequestDigest;
 import wellwheel.replication.ReplicatedRecord;
@@ -299,6 +300,11 @@
     return !lease.isEmpty() && !lease.equals(endedLease);
   }
 
+  /** The service that a configuration sends it to; empty if it has no route for it. */
+  String serviceUnder(Configuration configuration) {
+    return configuration.path(host, target).map(Configuration.Path::service).orElse("");
+  }
+
   boolean waiting() {
     return state == State.WAITING;
   }
--- a/src/main/java/wellwheel/queue/StorageNode.java
+++ b/src/main/java/wellwheel/queue/StorageNode.java
@@ -49,7 +49,6 @@
   private static final int ORPHANS_MOST = 1024;
   private static final long ORPHAN_US = 8_000_000;
   private static final long UNTOLD_US = 60_000;
-  private static final int STEP_ROWS_MOST = 400;
   private static final long FORGET_SLACK_US = 10_000_000;
   private static final int DEMANDS_MOST = 4096;
   private static final int ASIDE_MOST = 64;
@@ -76,7 +75,9 @@
   private final StragglerDetector stragglers = new StragglerDetector();
   private final RolloutRouter versions = new RolloutRouter();
   private final QueueHistory history;
+  private final HistoryFeed historyFeed;
   private final StepDependencies steps;
+  private final StepsReport stepsReport;
   private final ReceiptCoordinator receipts;
   private final AwaitingConfiguration awaitingConfiguration = new AwaitingConfiguration();
   private final String id;
@@ -143,97 +144,20 @@
                     .with("life", life)
                     .with("tally", versions.rows()),
             this::onNews);
+    stepsReport = new StepsReport(partitions.values(), steps, clusterLease);
+    historyFeed = new HistoryFeed(history, clusterLease, partitions.values(), dispatchers.values());
   }
 
-  private long coreNowUs() {
-    return clusterLease.coreUs();
-  }
-
-  private String serviceOf(Message message) {
-    return clusterLease
-        .configuration()
-        .path(message.host, message.target)
-        .map(Configuration.Path::service)
-        .orElse("");
-  }
-
-  private void keepHistory() {
-    if (!clusterLease.knowsCore()) {
-      return;
-    }
-    history.tick();
-    if (!history.flushDue()) {
-      return;
-    }
-    clusterLease.roster().stream()
-        .map(ClusterView.Processor::service)
-        .distinct()
-        .forEach(
-            service ->
-                history.slots(
-                    service,
-                    clusterLease.roster().stream()
-                        .filter(each -> each.service().equals(service))
-                        .mapToLong(ClusterView.Processor::capacity)
-                        .sum()));
-    dispatchers.values().stream()
-        .filter(
-            dispatcher ->
-                clusterLease
-                    .configuration()
-                    .service(dispatcher.service)
-                    .map(Configuration.Service::pull)
-                    .orElse(false))
-        .forEach(
-            dispatcher ->
-                history.slots(
-                    dispatcher.service, dispatcher.demands.size() + running(dispatcher.service)));
-    var waiting = new HashMap<List<String>, Long>();
-    partitions.values().stream()
-        .filter(partition -> partition.open)
-        .flatMap(partition -> partition.messages().stream())
-        .filter(message -> message.waiting() && message.dueUs <= clusterLease.coreUs())
-        .forEach(
-            message -> waiting.merge(List.of(message.tenant, serviceOf(message)), 1L, Long::sum));
-    waiting.forEach((key, count) -> history.waits(key.get(0), key.get(1), count));
+  private void sendToNextStorageNodes(Frame frame) {
     var storageNodes = clusterLease.view().members("storage");
     var mine = storageNodes.stream().map(ClusterView.Member::id).toList().indexOf(id);
-    history
-        .flush()
-        .ifPresent(
-            frame -> {
-              for (var step = 1;
-                  step <= Math.min(options.survive(), storageNodes.size() - 1);
-                  step++) {
-                wire.send(storageNodes.get((mine + step) % storageNodes.size()).ip(), frame);
-              }
-            });
-  }
-
-  private long running(String service) {
-    return partitions.values().stream()
-        .filter(partition -> partition.open)
-        .flatMap(partition -> partition.messages().stream())
-        .filter(message -> message.running && serviceOf(message).equals(service))
-        .count();
-  }
-
-  private void startCounted(Message message, String service) {
-    message.attemptSinceUs = clusterLease.coreUs();
-    history.starts(
-        message.tenant,
-        service,
-        message.attemptSinceUs - Math.max(message.freedUs, message.dueUs),
-        message.aimUs,
-        message.attempt == 1);
+    for (var step = 1; step <= Math.min(options.survive(), storageNodes.size() - 1); step++) {
+      wire.send(storageNodes.get((mine + step) % storageNodes.size()).ip(), frame);
+    }
   }
 
-  private void attemptCounted(Message message) {
-    if (message.attemptSinceUs > 0 && history.enabled()) {
-      history.legEnds(
-          message.tenant, serviceOf(message), clusterLease.coreUs() - message.attemptSinceUs);
-    }
-    message.attemptSinceUs = 0;
+  private long coreNowUs() {
+    return clusterLease.coreUs();
   }
 
   public ClusterLease clusterLease() {
@@ -372,9 +296,7 @@
                 && message.waiting()
                 && !message.after.isEmpty()
                 && message.heldBy.isEmpty());
-    if (history.enabled()) {
-      keepHistory();
-    }
+    historyFeed.tick().ifPresent(this::sendToNextStorageNodes);
     if (options.watch()) {
       stragglers
           .report(dispatchers, clusterLease.coreUs())
@@ -920,7 +842,7 @@
               frame.text("step"),
               StepDependencies.Ended.values()[
                   Math.floorMod(frame.small("ended"), StepDependencies.Ended.values().length)]);
-      case "steps.read" -> onStepsRead(from, frame);
+      case "steps.read" -> wire.send(from, stepsReport.answer(frame));
       case "steps.order" -> onStepsOrder(from, frame);
       case "receipts.read" ->
           wire.send(
@@ -1344,9 +1266,7 @@
   private void list(Partition partition, Message message) {
     message.unlisted = false;
     enlist(partition, message);
-    if (history.enabled()) {
-      history.arrived(message.tenant, serviceOf(message), message.dueUs);
-    }
+    historyFeed.arrived(message);
   }
 
   private void answerPut(Partition partition, Message message, String from, long requestNumber) {
@@ -1664,138 +1584,6 @@
     stepTold(step, ended);
   }
 
-  private void onStepsRead(String from, Frame frame) {
-    var rows = new ArrayList<Frame>();
-    if (frame.flag("failed")) {
-      failedSteps(rows);
-    }
-    for (var asked : frame.texts("steps")) {
-      partitions.values().stream()
-          .filter(partition -> partition.open)
-          .forEach(
-              partition -> {
-                var id =
-                    StepDependencies.partitionOf(asked)
-                            .filter(number -> number == partition.number)
-                            .isPresent()
-                        ? StepDependencies.idOf(asked)
-                        : asked;
-                Optional.ofNullable(partition.messageOrNull(id))
-                    .ifPresent(
-                        message -> {
-                          rows.add(stepRow(partition, message, "", ""));
-                          followers(partition, message)
-                              .forEach(
-                                  later ->
-                                      rows.add(
-                                          stepRow(
-                                              partition,
-                                              later,
-                                              StepDependencies.name(message),
-                                              "order")));
-                        });
-                partition.messages().stream()
-                    .filter(
-                        later ->
-                            later.waiting()
-                                && (later.after.contains(asked) || later.heldBy.equals(asked)))
-                    .forEach(later -> rows.add(stepRow(partition, later, asked, "named")));
-              });
-    }
-    var rest = Math.max(0, rows.size() - STEP_ROWS_MOST);
-    wire.send(
-        from,
-        Frame.of("steps.rows")
-            .with("rid", frame.number("rid"))
-            .with("rows", List.<Object>copyOf(rows.subList(0, rows.size() - rest)))
-            .with("rest", rest));
-  }
-
-  private List<Message> followers(Partition partition, Message message) {
-    var order = message.orderKey.isEmpty() ? null : partition.orders.get(message.orderName());
-    return order == null
-        ? List.of()
-        : order.stream().dropWhile(each -> each != message).skip(1).toList();
-  }
-
-  private void failedSteps(List<Frame> rows) {
-    for (var partition : partitions.values()) {
-      if (!partition.open) {
-        continue;
-      }
-      for (var message : partition.messages()) {
-        if (message.waiting()
-            && !message.lastOutcome.isEmpty()
-            && (steps.relied(StepDependencies.name(message))
-                || !followers(partition, message).isEmpty())) {
-          rows.add(stepRow(partition, message, "", ""));
-        } else if (message.waiting() && !message.heldBy.isEmpty()) {
-          rows.add(stepRow(partition, message, message.heldBy, "named"));
-        } else if (message.waiting()) {
-          message.after.forEach(step -> rows.add(stepRow(partition, message, step, "waits")));
-        }
-      }
-    }
-  }
-
-  private Frame stepRow(Partition partition, Message message, String of, String how) {
-    var nowUs = clusterLease.coreUs();
-    return new Frame()
-        .with("k", StepDependencies.name(message))
-        .with("t", message.tenant)
-        .with("s", serviceOf(message))
-        .with("st", message.state.ordinal())
-        .with("w", message.ranAt)
-        .with(
-            "o",
-            message.state == Message.State.FINISHED
-                ? "ran"
-                : message.running
-                    ? "runs now"
-                    : message.lastOutcome.isEmpty()
-                        ? message.attempt == 0 ? "not run yet" : "may have run"
-                        : message.lastOutcome)
-        .with("at", List.<Object>copyOf(message.attempts))
-        .with("n", Math.max(0, Math.max(message.nextUs, message.dueUs) - nowUs))
-        .with("aim", Math.max(0, message.dueUs + message.aimUs - nowUs))
-        .with("of", of)
-        .with("how", how)
-        .with("h", hold(partition, message, nowUs))
-        .with("f", followers(partition, message).size());
-  }
-
-  private String hold(Partition partition, Message message, long nowUs) {
-    if (!message.waiting()) {
-      return "";
-    }
-    if (!message.heldBy.isEmpty()) {
-      return "held until an operator decides: step " + message.heldBy + " failed or is forgotten";
-    }
-    if (!message.after.isEmpty()) {
-      return "waits for step " + String.join(", ", message.after);
-    }
-    var order = message.orderKey.isEmpty() ? null : partition.orders.get(message.orderName());
-    if (order != null && order.peekFirst() != message) {
-      return "waits for "
-          + StepDependencies.name(order.peekFirst())
-          + ", which is before it in its order";
-    }
-    if (message.running) {
-      return "runs at "
-          + (message.ranAt.isEmpty() ? "a worker" : message.ranAt)
-          + "; another runs it only if this one fails or stays silent";
-    }
-    if (message.dueUs > nowUs) {
-      return "its delay is not over";
-    }
-    if (!AwaitingConfiguration.decidable(message, clusterLease.configuration().revision())) {
-      return "waits until its storage node has configuration " + message.admittedRevision;
-    }
-    return message.nextUs > nowUs
-        ? "waits before its next attempt, by whichever machine is free then"
-        : "waits for a free machine";
-  }
-
   private void onStepsOrder(String from, Frame frame) {
     var step = frame.text("step");
     var answer = Frame.of("steps.done").with("rid", frame.number("rid"));
@@ -2156,7 +1944,7 @@
           message.lease,
           clusterLease.coreUs());
     }
-    startCounted(message, service);
+    historyFeed.attemptBegins(message, service);
     wire.send(
         demand.edgeIp(),
         Frame.of("job")
@@ -2191,7 +1979,7 @@
               watchLease(partition, message, lease);
               return;
             }
-            attemptCounted(message);
+            historyFeed.attemptEnds(message);
             message.notes("silent; may have run");
             message.running = false;
             message.nextUs = 0;
@@ -2344,12 +2132,12 @@
       stragglers.begins(
           dispatcher.service, target.processor.id(), path.name(), lease, clusterLease.coreUs());
     }
-    startCounted(message, dispatcher.service);
+    historyFeed.attemptBegins(message, dispatcher.service);
     deliveryClient.deliver(
         attempt,
         outcome -> {
           synchronized (this) {
-            attemptCounted(message);
+            historyFeed.attemptEnds(message);
             target.running--;
             attemptsRunning--;
             judge(target, outcome);
@@ -2551,9 +2339,7 @@
       String lease,
       Runnable then) {
     message.revision++;
-    if (history.enabled()) {
-      history.ended(message.tenant, serviceOf(message), state == Message.State.FINISHED);
-    }
+    historyFeed.ended(message, state == Message.State.FINISHED);
     message.state = state;
     message.seal = seal;
     message.endedLease = lease;
@@ -2679,7 +2465,7 @@
   private void endTaken(
       Partition partition, Message message, String lease, Frame frame, Runnable then) {
     var result = frame.small("result");
-    attemptCounted(message);
+    historyFeed.attemptEnds(message);
     stragglers.ends(lease, result / 100 == 2, clusterLease.coreUs());
     if (result != 503 && result != 429 && result != 400) {
       judged(message, result / 100 != 2 || frame.text("seal").isEmpty());
