--- a/src/test/java/wellwheel/queue/ConfigurationLagTest.java
+++ b/src/test/java/wellwheel/queue/ConfigurationLagTest.java
@@ -13,23 +13,12 @@
  * storage node that has not heard of the configuration under which an edge node admitted them.
  */
 class ConfigurationLagTest extends StorageNodeFixture {
-  private static final String EDGE = "10.0.0.9";
   private static final String NEW_ROUTE =
       "{\"Name\":\"n\",\"Host\":\"new\",\"PathStart\":\"/\",\"Type\":\"background\",\"GiveUpMs\":500,\"TargetMs\":100,\"Rank\":1,"
           + "\"Backend\":\"s\",\"Tries\":3,\"InOrder\":false,\"KeepForS\":90,\"StartTargetMs\":500,\"Public\":false}";
 
   private static Frame handIn(String id, String host, long revision) {
-    return Frame.of("put")
-        .with("l", 0)
-        .with("rid", 3)
-        .with("i", id)
-        .with("t", "t")
-        .with("h", host)
-        .with("m", "POST")
-        .with("p", "/x")
-        .with("keep", 90_000_000L)
-        .with("cr", revision)
-        .with("b", "the body".getBytes(StandardCharsets.UTF_8));
+    return put(id, host, revision, "the body".getBytes(StandardCharsets.UTF_8));
   }
 
   private ClusterView.Partition place(long version) {
@@ -44,24 +33,8 @@
     news(place(version), revision);
   }
 
-  private List<String> answers() {
-    return sentToControl.stream()
-        .filter(frame -> frame.kind().equals("put.ok"))
-        .map(frame -> frame.text("r"))
-        .toList();
-  }
-
   private int state(String id, String host) {
-    sentToControl.clear();
-    node.onFrame(
-        EDGE,
-        Frame.of("look")
-            .with("rid", 7)
-            .with("line", 0)
-            .with("id", id)
-            .with("tenant", "t")
-            .with("host", host));
-    return sentToControl.get(0).small("state");
+    return look(id, host, false).small("state");
   }
 
   /** A worker's wish for work; the jobs that are handed out for it. */
@@ -88,7 +61,7 @@
     node.onFrame(EDGE, handIn("m2", "new", 2));
     copyAcknowledges();
     copyAcknowledges();
-    assertThat(answers()).contains("kept");
+    assertThat(putAnswers()).contains("kept");
     assertThat(state("m2", "new")).isEqualTo(Message.State.WAITING.ordinal());
     assertThat(jobs()).containsExactly("m1");
     configurationWith(NEW_ROUTE + ",", 2, 2);
@@ -120,15 +93,7 @@
             .with("ep", 2)
             .with("x", nowUs + 90_000_000L)
             .with("cr", 2);
-    node.onFrame(
-        OTHER,
-        Frame.unpack(
-            Frame.of("rep")
-                .with("l", 0)
-                .with("e", 2L)
-                .with("s", (2L << 32) + 1)
-                .with("c", record)
-                .pack()));
+    replicated(2, 1, record);
     news(partition(3, List.of(node.id(), "other#1"), "", 2, 3));
     node.onFrame(
         OTHER,
@@ -150,7 +115,7 @@
     configurationWith("", 3, 3);
     sentToControl.clear();
     node.onFrame(EDGE, handIn("m2", "new", 2));
-    assertThat(answers()).containsExactly("no");
+    assertThat(putAnswers()).containsExactly("no");
     assertThat(other("rep")).isEmpty();
   }
 
--- a/src/test/java/wellwheel/queue/StorageBoundsTest.java
+++ b/src/test/java/wellwheel/queue/StorageBoundsTest.java
@@ -2,52 +2,23 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
-import wellwheel.storage.Disk;
 import wellwheel.storage.Journal;
+import wellwheel.storage.MemoryDisk;
 import wellwheel.transport.Frame;
 
 /** What a storage node does when it, or a copy, holds as much as it may: refuse, and take again. */
 class StorageBoundsTest extends StorageNodeFixture {
-  private static final String EDGE = "10.0.0.9";
   private static final int BODY_BYTES = 1 << 20;
 
-  private void put(String id, int bodyBytes) {
-    node.onFrame(
-        EDGE,
-        Frame.of("put")
-            .with("l", 0)
-            .with("rid", 4)
-            .with("i", id)
-            .with("t", "t")
-            .with("h", "h")
-            .with("m", "POST")
-            .with("p", "/x")
-            .with("keep", 90_000_000L)
-            .with("b", new byte[bodyBytes]));
-  }
-
   private String handIn(String id, int bodyBytes) {
     sentToControl.clear();
-    put(id, bodyBytes);
+    node.onFrame(EDGE, put(id, "h", 1, new byte[bodyBytes]));
     copyAcknowledges();
-    return sentToControl.stream()
-        .filter(frame -> frame.kind().equals("put.ok"))
-        .map(frame -> frame.text("r"))
-        .findFirst()
-        .orElse("none");
-  }
-
-  private void copySaysFull(boolean full) {
-    for (var frame : other("rep")) {
-      sentToOther.remove(frame);
-      node.onFrame(
-          OTHER,
-          Frame.of("ok").with("l", frame.small("l")).with("s", frame.number("s")).with("fu", full));
-    }
+    return putAnswers().stream().findFirst().orElse("none");
   }
 
   @Test
@@ -77,8 +48,8 @@
 
   @Test
   void aPrimaryTakesNothingNewWhileACopyIsFullAndAsksItAgainAfterASecond() {
-    put("m2", 1);
-    copySaysFull(true);
+    node.onFrame(EDGE, put("m2", "h", 1, new byte[1]));
+    copyAcknowledges(true);
     assertThat(handIn("m3", 1)).isEqualTo("no");
     nowUs += CopyPressure.FULL_US;
     assertThat(handIn("m4", 1)).isEqualTo("kept");
@@ -98,14 +69,7 @@
               .with("v", 2L << 20)
               .with("ep", 2)
               .with("b", new byte[BODY_BYTES]);
-      node.onFrame(
-          OTHER,
-          Frame.of("rep")
-              .with("l", 0)
-              .with("e", 2L)
-              .with("s", (2L << 32) + number + 1)
-              .with("y", true)
-              .with("c", record));
+      replicated(2, number + 1, record);
     }
     var acknowledged = other("ok");
     assertThat(acknowledged).hasSize(70);
@@ -149,48 +113,20 @@
         .with("h", "h")
         .with("a", acceptedUs)
         .with("x", 900_000_000L)
-        .with("b", "the body".getBytes());
+        .with("b", "the body".getBytes(StandardCharsets.UTF_8));
   }
 
   private void journalHolds(Frame... records) {
-    var file = new ByteArrayOutputStream();
-    Disk writer =
-        new Disk() {
-          @Override
-          public byte[] load(String name) {
-            return file.toByteArray();
-          }
-
-          @Override
-          public void append(String name, byte[] bytes, Runnable synced) {
-            file.writeBytes(bytes);
-            synced.run();
-          }
-
-          @Override
-          public void rewrite(String name, byte[] all, Runnable synced) {
-            throw new UnsupportedOperationException();
-          }
-        };
-    var journal = new Journal(writer, "keeper.journal", "me");
+    var disk = new MemoryDisk();
+    var journal = new Journal(disk, "keeper.journal", "me");
     for (var record : records) {
       journal.append(record.pack(), () -> {});
     }
-    files.put("keeper.journal", file.toByteArray());
+    files.put("keeper.journal", disk.bytes);
   }
 
   private String body() {
-    sentToControl.clear();
-    node.onFrame(
-        EDGE,
-        Frame.of("look")
-            .with("rid", 7)
-            .with("line", 0)
-            .with("id", "m1")
-            .with("tenant", "t")
-            .with("host", "h")
-            .with("body", true));
-    return new String(sentToControl.get(0).bytes("body"));
+    return new String(look("m1", "h", true).bytes("body"), StandardCharsets.UTF_8);
   }
 
   @Test
--- a/src/test/java/wellwheel/queue/StorageNodeFixture.java
+++ b/src/test/java/wellwheel/queue/StorageNodeFixture.java
@@ -18,6 +18,7 @@
 /** A storage node on a scripted clock, network and disk, primary of one partition with a copy. */
 abstract class StorageNodeFixture {
   static final String CONTROL = "10.0.0.1";
+  static final String EDGE = "10.0.0.9";
   static final String OTHER = "10.0.0.3";
   static final String CONFIG =
       "{\"Revision\":1,\"Routing\":[{\"Name\":\"r\",\"Host\":\"h\",\"PathStart\":\"/\",\"Type\":\"background\",\"GiveUpMs\":500,\"TargetMs\":100,\"Rank\":1,"
@@ -157,18 +158,43 @@
   }
 
   void handIn(String id) {
+    node.onFrame(EDGE, put(id, "h", 0, "the body".getBytes(StandardCharsets.UTF_8)));
+  }
+
+  static Frame put(String id, String host, long revision, byte[] body) {
+    return Frame.of("put")
+        .with("l", 0)
+        .with("rid", 1)
+        .with("i", id)
+        .with("t", "t")
+        .with("h", host)
+        .with("m", "POST")
+        .with("p", "/x")
+        .with("keep", 90_000_000L)
+        .with("cr", revision)
+        .with("b", body);
+  }
+
+  /** What the edge node has been told of its hand-ins. */
+  List<String> putAnswers() {
+    return sentToControl.stream()
+        .filter(frame -> frame.kind().equals("put.ok"))
+        .map(frame -> frame.text("r"))
+        .toList();
+  }
+
+  /** The primary of another node sends this copy a record. */
+  void replicated(long epoch, long number, Frame record) {
     node.onFrame(
-        "10.0.0.9",
-        Frame.of("put")
-            .with("l", 0)
-            .with("rid", 1)
-            .with("i", id)
-            .with("t", "t")
-            .with("h", "h")
-            .with("m", "POST")
-            .with("p", "/x")
-            .with("keep", 90_000_000L)
-            .with("b", "the body".getBytes(StandardCharsets.UTF_8)));
+        OTHER,
+        Frame.unpack(
+            Frame.of("rep")
+                .with("l", 0)
+                .with("e", epoch)
+                .with("s", (epoch << 32) + number)
+                .with("y", true)
+                .with("c", record)
+                .pack()));
   }
 
   List<Frame> other(String kind) {
@@ -176,22 +202,33 @@
   }
 
   void copyAcknowledges() {
+    copyAcknowledges(false);
+  }
+
+  void copyAcknowledges(boolean full) {
     for (var frame : other("rep")) {
       sentToOther.remove(frame);
-      node.onFrame(OTHER, Frame.of("ok").with("l", frame.small("l")).with("s", frame.number("s")));
+      node.onFrame(
+          OTHER,
+          Frame.of("ok").with("l", frame.small("l")).with("s", frame.number("s")).with("fu", full));
     }
   }
 
   Frame look() {
+    return look("m1", "h", false);
+  }
+
+  Frame look(String id, String host, boolean body) {
     sentToControl.clear();
     node.onFrame(
-        "10.0.0.9",
+        EDGE,
         Frame.of("look")
             .with("rid", 7)
             .with("line", 0)
-            .with("id", "m1")
+            .with("id", id)
             .with("tenant", "t")
-            .with("host", "h"));
+            .with("host", host)
+            .with("body", body));
     return sentToControl.stream()
         .filter(frame -> frame.kind().equals("look.ok"))
         .findFirst()
--- a/src/test/java/wellwheel/queue/StorageNodeTest.java
+++ b/src/test/java/wellwheel/queue/StorageNodeTest.java
@@ -294,19 +294,6 @@
     assertThat(told).containsExactly("1 kept", "2 no", "3 no").inOrder();
   }
 
-  private void rep(long epoch, long seq, Frame record) {
-    node.onFrame(
-        OTHER,
-        Frame.unpack(
-            Frame.of("rep")
-                .with("l", 0)
-                .with("e", epoch)
-                .with("s", seq)
-                .with("y", true)
-                .with("c", record)
-                .pack()));
-  }
-
   private static Frame whole(String id, long epoch) {
     return new Frame()
         .with("k", "m")
@@ -331,9 +318,9 @@
   @Test
   void aPlaceOlderThanTheEpochInForceTakesNoCopyAway() {
     joinAsk(5);
-    rep(5, (5L << 32) + 1, whole("m2", 5));
+    replicated(5, 1, whole("m2", 5));
     news(partition(3, List.of("other#1", "third#1"), "", 2, 3));
-    rep(5, (5L << 32) + 2, whole("m3", 5));
+    replicated(5, 2, whole("m3", 5));
     assertThat(other("ok")).hasSize(2);
     assertThat(other("rep.no")).isEmpty();
     assertThat(held(6)).containsExactly("m1", "m2", "m3");
@@ -350,7 +337,7 @@
   void aCopyTellsWhatItHasOnlyWhenThatIsSynced() {
     news(partition(2, List.of("other#1", node.id()), "", 2, 2));
     stalled = true;
-    rep(2, (2L << 32) + 1, whole("m2", 2));
+    replicated(2, 1, whole("m2", 2));
     joinAsk(3);
     assertThat(other("join.have")).isEmpty();
     List.copyOf(unsynced).forEach(Runnable::run);
@@ -361,9 +348,9 @@
   void aChangeOfWaitingWorkThatACopyLacksIsNotAcknowledged() {
     news(partition(2, List.of("other#1", node.id()), "", 2, 2));
     sentToOther.clear();
-    rep(
+    replicated(
         2,
-        (2L << 32) + 1,
+        1,
         new Frame().with("k", "u").with("l", 0).with("i", "m9").with("v", 2L << 20).with("ep", 2L));
     assertThat(other("ok")).isEmpty();
     assertThat(other("rep.no").get(0).text("why")).isEqualTo("unjoined");
--- a/src/test/java/wellwheel/storage/FileDiskTest.java
+++ b/src/test/java/wellwheel/storage/FileDiskTest.java
@@ -289,13 +289,46 @@
     }
   }
 
+  private static List<Integer> replayed(Journal journal, String seed) {
+    var found = new ArrayList<Integer>();
+    var replay = journal.replay(record -> found.add(ByteBuffer.wrap(record).getInt()));
+    assertWithMessage(seed).that(replay.syncedDamaged()).isFalse();
+    return found;
+  }
+
+  private interface Life {
+    int live(Model volume, Random random, List<Integer> all, int sure, String seed)
+        throws IOException;
+  }
+
+  /**
+   * Lives of a process under each seed, each stopped at a step of its own, with losses of power.
+   */
+  private static void livesOf(Life life, int stepsMost) throws IOException {
+    for (var seed = 0; seed < SEEDS; seed++) {
+      var random = new Random(seed);
+      var volume = new Model(random);
+      var all = new ArrayList<Integer>();
+      var sure = 0;
+      for (var number = 0; number < 6; number++) {
+        volume.stepsLeft = random.nextInt(stepsMost);
+        try {
+          sure = life.live(volume, random, all, sure, "seed " + seed + " life " + number);
+        } catch (UncheckedIOException stopped) {
+          assertThat(volume.stepsLeft).isLessThan(0);
+        }
+        if (random.nextInt(3) > 0) {
+          volume.losePower();
+        }
+      }
+    }
+  }
+
   private static int life(Model volume, Random random, List<Integer> all, int sure, String seed)
       throws IOException {
     var disk = new FileDisk(volume, Runnable::run);
     var journal = new Journal(disk, "a", "me");
-    var found = new ArrayList<Integer>();
-    var replay = journal.replay(record -> found.add(ByteBuffer.wrap(record).getInt()));
-    assertWithMessage(seed).that(replay.syncedDamaged()).isFalse();
+    var found = replayed(journal, seed);
     assertWithMessage(seed).that(found.size()).isAtLeast(sure);
     assertWithMessage(seed).that(found).isEqualTo(all.subList(0, found.size()));
     all.subList(found.size(), all.size()).clear();
@@ -328,23 +361,7 @@
 
   @Test
   void aJournalHoldsItsAcknowledgedRecordsAndNeverCallsALossOfPowerDamage() throws IOException {
-    for (var seed = 0; seed < SEEDS; seed++) {
-      var random = new Random(seed);
-      var volume = new Model(random);
-      var all = new ArrayList<Integer>();
-      var sure = 0;
-      for (var life = 0; life < 6; life++) {
-        volume.stepsLeft = random.nextInt(60);
-        try {
-          sure = life(volume, random, all, sure, "seed " + seed + " life " + life);
-        } catch (UncheckedIOException stopped) {
-          assertThat(volume.stepsLeft).isLessThan(0);
-        }
-        if (random.nextInt(3) > 0) {
-          volume.losePower();
-        }
-      }
-    }
+    livesOf(FileDiskTest::life, 60);
   }
 
   /** Every record is kept by the compaction or appended beside it, at whatever step it stops. */
@@ -352,9 +369,7 @@
       Model volume, Random random, List<Integer> all, int sure, String seed) throws IOException {
     var disk = new FileDisk(volume, Runnable::run);
     var journal = new Journal(disk, "a", "me");
-    var found = new ArrayList<Integer>();
-    var replay = journal.replay(record -> found.add(ByteBuffer.wrap(record).getInt()));
-    assertWithMessage(seed).that(replay.syncedDamaged()).isFalse();
+    var found = replayed(journal, seed);
     assertWithMessage(seed).that(found).containsAtLeastElementsIn(all.subList(0, sure));
     all.retainAll(found);
     var surely = new int[] {all.size()};
@@ -389,23 +404,7 @@
 
   @Test
   void aJournalThatIsCompactedPieceByPieceLosesNothingWhereverItStops() throws IOException {
-    for (var seed = 0; seed < SEEDS; seed++) {
-      var random = new Random(seed);
-      var volume = new Model(random);
-      var all = new ArrayList<Integer>();
-      var sure = 0;
-      for (var life = 0; life < 6; life++) {
-        volume.stepsLeft = random.nextInt(120);
-        try {
-          sure = compactingLife(volume, random, all, sure, "seed " + seed + " life " + life);
-        } catch (UncheckedIOException stopped) {
-          assertThat(volume.stepsLeft).isLessThan(0);
-        }
-        if (random.nextInt(3) > 0) {
-          volume.losePower();
-        }
-      }
-    }
+    livesOf(FileDiskTest::compactingLife, 120);
   }
 
   @Test
