--- a/src/main/java/wellwheel/storage/FileDisk.java
+++ b/src/main/java/wellwheel/storage/FileDisk.java
@@ -24,12 +24,19 @@
   private static final byte[] NOTHING = {};
 
   private enum Kind {
-    APPEND,
-    START_REWRITE,
-    EXTEND_REWRITE,
-    FINISH_REWRITE,
-    REPLACE,
-    CUT
+    APPEND(false),
+    START_REWRITE(false),
+    EXTEND_REWRITE(false),
+    FINISH_REWRITE(true),
+    REPLACE(true),
+    CUT(true);
+
+    /** Whether new contents take the place of the old ones. */
+    private final boolean putsInPlace;
+
+    Kind(boolean putsInPlace) {
+      this.putsInPlace = putsInPlace;
+    }
   }
 
   /** A step for the writing thread; the length matters to a cut alone. */
@@ -173,34 +180,43 @@
   }
 
   private void write(List<Work> batch) throws IOException {
-    var dirty = new HashSet<String>();
+    var appended = new HashSet<String>();
+    var extended = new HashSet<String>();
     for (var work : batch) {
-      switch (work.kind()) {
-        case APPEND -> {
-          append(work);
-          dirty.add(work.name());
-        }
-        case START_REWRITE -> startRewriting(work.name());
-        case EXTEND_REWRITE -> rewrites.get(work.name()).write(ByteBuffer.wrap(work.bytes()));
-        case FINISH_REWRITE -> {
-          finishRewriting(work.name());
-          dirty.remove(work.name());
-        }
-        case REPLACE -> {
-          startRewriting(work.name()).write(ByteBuffer.wrap(work.bytes()));
-          finishRewriting(work.name());
-          dirty.remove(work.name());
-        }
-        case CUT -> {
-          copyPrefix(work.name(), work.length());
-          finishRewriting(work.name());
-          dirty.remove(work.name());
-        }
-      }
+      write(work, appended, extended);
     }
-    for (var name : dirty) {
+    for (var name : appended) {
       files.get(name).sync(false);
     }
+    for (var name : extended) {
+      rewrites.get(name).sync(false);
+    }
+  }
+
+  /**
+   * Does one step, and notes the names whose files or rewrites are to be synced after the batch.
+   */
+  private void write(Work work, Set<String> appended, Set<String> extended) throws IOException {
+    var name = work.name();
+    switch (work.kind()) {
+      case APPEND -> {
+        append(work);
+        appended.add(name);
+      }
+      case START_REWRITE -> startRewriting(name);
+      case EXTEND_REWRITE -> {
+        rewrites.get(name).write(ByteBuffer.wrap(work.bytes()));
+        extended.add(name);
+      }
+      case REPLACE -> startRewriting(name).write(ByteBuffer.wrap(work.bytes()));
+      case CUT -> copyPrefix(name, work.length());
+      case FINISH_REWRITE -> {}
+    }
+    if (work.kind().putsInPlace) {
+      finishRewriting(name);
+      appended.remove(name);
+      extended.remove(name);
+    }
   }
 
   private void append(Work work) throws IOException {
