Fields of requests are read by one class for edge nodes and fronts

RequestFields moves to transport. Of malformed values fronts now think as edge nodes do: a Time-Left-Ms that is no whole number of up to 15 digits counts as missing (a negative one counted as 0).

--- a/src/main/java/wellwheel/edge/EdgeNode.java
+++ b/src/main/java/wellwheel/edge/EdgeNode.java
@@ -26,6 +26,7 @@
 import wellwheel.transport.Exchange.Answer;
 import wellwheel.transport.Frame;
 import wellwheel.transport.Network;
+import wellwheel.transport.RequestFields;
 
 /** State machine of an edge node: admission, hand-ins, look-ups, pulls and ends of jobs. */
 public final class EdgeNode implements Network.MessageHandler {
--- a/src/main/java/wellwheel/functions/FrontNode.java
+++ b/src/main/java/wellwheel/functions/FrontNode.java
@@ -17,6 +17,7 @@
 import wellwheel.transport.Exchange;
 import wellwheel.transport.Frame;
 import wellwheel.transport.Network;
+import wellwheel.transport.RequestFields;
 
 /**
  * State machine of a front: takes requests, passes each to the owner of its function, and is itself
@@ -153,11 +154,9 @@
     if (exchange.header("Attempt-Id").filter(text -> !text.isBlank()).isEmpty()) {
       return new Admission(Optional.empty(), Optional.of(ResultCode.NO_ID));
     }
-    var words = exchange.header("Authorization").orElse("").trim().split(" ");
     var tenant =
-        words.length == 2 && words[0].equalsIgnoreCase("Bearer")
-            ? configuration.tenant(words[1])
-            : Optional.<Configuration.Tenant>empty();
+        RequestFields.bearerKey(exchange.header("Authorization").orElse(""))
+            .flatMap(configuration::tenant);
     var known = tenant.isPresent() || path.open() || !configuration.hasTenants();
     return new Admission(tenant, known ? Optional.empty() : Optional.of(ResultCode.NO_KEY));
   }
@@ -193,12 +192,8 @@
   }
 
   private static long timeLeftUs(Exchange exchange) {
-    var text = exchange.header("Time-Left-Ms").map(String::trim).orElse("");
-    try {
-      return text.isEmpty() ? DEFAULT_TIME_LEFT_US : Math.max(0, Long.parseLong(text)) * 1000;
-    } catch (NumberFormatException e) {
-      return DEFAULT_TIME_LEFT_US;
-    }
+    var leftMs = RequestFields.number(exchange.header("Time-Left-Ms"), -1);
+    return leftMs < 0 ? DEFAULT_TIME_LEFT_US : leftMs * 1000;
   }
 
   private synchronized void outOfTime(long number) {
--- a/src/main/java/wellwheel/edge/RequestFields.java
+++ b/src/main/java/wellwheel/transport/RequestFields.java
@@ -1,9 +1,9 @@
-package wellwheel.edge;
+package wellwheel.transport;
 
 import java.util.Optional;
 
 /** Checks and reads the text of single fields of a request, without regular expressions. */
-final class RequestFields {
+public final class RequestFields {
   private static final int NAME_MOST = 64;
   private static final int DIGITS_MOST = 15;
   private static final int LEASE_DIGITS_MOST = 12;
@@ -13,7 +13,7 @@
   private RequestFields() {}
 
   /** Whether the text is the name of a try or message: 1 to 64 letters, digits or {@code -_.}. */
-  static boolean isName(String text) {
+  public static boolean isName(String text) {
     if (text.isEmpty() || text.length() > NAME_MOST) {
       return false;
     }
@@ -34,7 +34,7 @@
   }
 
   /** Whether the text is 1 to {@code most} decimal digits. */
-  static boolean isDigits(String text, int most) {
+  public static boolean isDigits(String text, int most) {
     if (text.isEmpty() || text.length() > most) {
       return false;
     }
@@ -47,7 +47,7 @@
   }
 
   /** A whole number of up to 15 digits; -1 if the text is none, the default if it is missing. */
-  static long number(Optional<String> text, long otherwise) {
+  public static long number(Optional<String> text, long otherwise) {
     if (text.isEmpty()) {
       return otherwise;
     }
@@ -56,7 +56,7 @@
   }
 
   /** The key in an {@code Authorization} header. */
-  static Optional<String> bearerKey(String authorization) {
+  public static Optional<String> bearerKey(String authorization) {
     var words = authorization.trim();
     var space = words.indexOf(' ');
     if (space < 0 || !words.substring(0, space).equalsIgnoreCase(BEARER)) {
@@ -67,7 +67,7 @@
   }
 
   /** Whether the text is a lease: partition, epoch and attempt, separated by points. */
-  static boolean isLease(String text) {
+  public static boolean isLease(String text) {
     var first = text.indexOf('.');
     var second = text.indexOf('.', first + 1);
     return first > 0
