--- a/review/stand-2/FunctionPlatform.java
+++ b/review/stand-2/FunctionPlatform.java
@@ -67,6 +67,9 @@
   /** Milliseconds that the platform takes for an order to start or stop. */
   volatile long orderMs;
 
+  /** Whether starts and stops are left out of the record. */
+  volatile boolean quiet;
+
   FunctionPlatform(Rig rig, int host, long startupMs, int slots, Work work) throws IOException {
     this.rig = rig;
     this.ip = rig.ip(host);
@@ -90,8 +93,8 @@
         case "/workers" ->
             json(
                 200,
-                "{\"WorkerMachines\":[{\"Name\":\"w-1\",\"Zone\":\"brest\",\"MemoryMb\":16384,"
-                    + "\"MemoryLeftMb\":" + (16384 - 512 * alive()) + ",\"State\":\"ready\"}]}");
+                "{\"WorkerMachines\":[{\"Name\":\"w-1\",\"Zone\":\"brest\",\"MemoryMb\":32768,"
+                    + "\"MemoryLeftMb\":" + (32768 - 128 * alive()) + ",\"State\":\"ready\"}]}");
         case "/servers" -> json(200, list());
         case "/start" -> begin(fields(request));
         case "/stop" -> stop(fields(request));
@@ -144,13 +147,19 @@
       instance = new Instance("i-" + port, order.get("Backend"), port);
       byKey.put(key, instance);
       instances.put(instance.id, instance);
-      rig.note("the platform starts " + instance.id + " of " + instance.service);
+      note("the platform starts " + instance.id + " of " + instance.service);
       var begun = instance;
       Server.daemon(() -> bringUp(begun));
     }
     return json(200, "{\"Id\":\"" + instance.id + "\",\"Address\":\"" + instance.address + "\"}");
   }
 
+  private void note(String text) {
+    if (!quiet) {
+      rig.note(text);
+    }
+  }
+
   private void bringUp(Instance instance) {
     Rig.pause(Math.max(0, instance.upMs - rig.nowMs()));
     try {
@@ -174,7 +183,7 @@
       return json(404, "{}");
     }
     if (!instance.stopped) {
-      rig.note("the platform stops " + instance.id + " of " + instance.service);
+      note("the platform stops " + instance.id + " of " + instance.service);
     }
     instance.stopped = true;
     if (instance.server != null) {
--- a/review/stand-2/Link.java
+++ b/review/stand-2/Link.java
@@ -27,6 +27,11 @@
     cut = now;
   }
 
+  /** Takes no more connections; those that are open stay. */
+  void stopListening() throws IOException {
+    socket.close();
+  }
+
   private void accept() {
     while (!socket.isClosed()) {
       try {
