A primary that was replaced tells no old states and no 404

Callers saw (in a test; nobody has reported it): with machines cut into halves, an edge node beside a replaced primary told waiting, and the body, for a message that its worker had ended at the new primary, and 404 for messages that the new primary had accepted.

Cause: a storage node answered for a partition until it heard of the new primary, and the edge node's second round after a 404 asks by a name under which no accepted message is kept.

Fix: waiting and "no such message" are told only after every copy has confirmed, since the question came, that it still follows this primary; the round that receipts already use for their denials does that, one at a time for each partition. Ends are final and need no round. Copies that are no primary tell nothing; the edge node says 503 when its time is over.

--- a/src/main/java/wellwheel/edge/EdgeNode.java
+++ b/src/main/java/wellwheel/edge/EdgeNode.java
@@ -73,7 +73,10 @@
     long untilUs;
     final Set<String> asked = new HashSet<>();
     final Set<String> sure = new HashSet<>();
-    Optional<Frame> best = Optional.empty();
+
+    /** Whether a copy has it that cannot be sure of its state. */
+    boolean known;
+
     boolean wide;
     Optional<Consumer<String>> step = Optional.empty();
   }
@@ -768,7 +771,7 @@
         tell(rid, look, frame);
         return;
       }
-      look.best = Optional.of(frame);
+      look.known = true;
     } else if (!look.wide && frame.flag("sure")) {
       looks.remove(rid);
       look.wide = true;
@@ -778,7 +781,7 @@
     }
     if (look.wide && frame.flag("sure")) {
       look.sure.add(from);
-      if (look.sure.containsAll(look.asked) && look.best.isEmpty()) {
+      if (look.sure.containsAll(look.asked) && !look.known) {
         looks.remove(rid);
         if (look.step.isPresent()) {
           look.step.get().accept("");
@@ -824,12 +827,8 @@
         }
         continue;
       }
-      if (look.best.isPresent() && look.step.isEmpty()) {
-        tell(entry.getKey(), look, look.best.get());
-      } else {
-        looks.remove(entry.getKey());
-        look.exchange.answer(Answer.later(ResultCode.NOT_KEPT, 1));
-      }
+      looks.remove(entry.getKey());
+      look.exchange.answer(Answer.later(ResultCode.NOT_KEPT, 1));
     }
   }
 
--- a/src/main/java/wellwheel/queue/StateQueries.java
+++ b/src/main/java/wellwheel/queue/StateQueries.java
@@ -1,5 +1,8 @@
 package wellwheel.queue;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.LongSupplier;
@@ -8,21 +11,46 @@
 
 /**
  * Answers questions about states and bodies of messages. Only a primary tells a state, and only one
- * that no restart and no change of primary takes back: an end once it stands on every copy. Whoever
- * cannot be sure yet does not answer; the edge node asks again until its own time is over.
+ * that no restart and no change of primary takes back: an end once it stands on every copy, {@code
+ * waiting}, and that it does not know a message, once every copy has confirmed that this node was
+ * still the primary after the question came. Whoever cannot be sure yet does not answer; the edge
+ * node asks again until its own time is over.
  */
 final class StateQueries {
   /** A node that has not heard of the control leader for so long does not say what is unknown. */
   private static final long SURE_LEASE_AGE_US = 1_000_000;
 
+  /** Questions of one partition that wait for the copies to confirm its primary. */
+  private static final class Confirmation {
+    final long openedEpoch;
+    List<Runnable> underWay = new ArrayList<>();
+    List<Runnable> next = new ArrayList<>();
+
+    Confirmation(long openedEpoch) {
+      this.openedEpoch = openedEpoch;
+    }
+  }
+
+  /** Runs a task once every copy of the partition has confirmed its primary. */
+  interface PrimaryConfirmer {
+    void confirm(Partition partition, Runnable then);
+  }
+
   private final Map<Integer, Partition> partitions;
   private final Network network;
   private final LongSupplier leaseAgeUs;
+  private final PrimaryConfirmer confirmer;
+  private final Map<Integer, Confirmation> confirmations = new HashMap<>();
 
-  StateQueries(Map<Integer, Partition> partitions, Network network, LongSupplier leaseAgeUs) {
+  StateQueries(
+      Map<Integer, Partition> partitions,
+      Network network,
+      LongSupplier leaseAgeUs,
+      PrimaryConfirmer confirmer) {
     this.partitions = partitions;
     this.network = network;
     this.leaseAgeUs = leaseAgeUs;
+    this.confirmer = confirmer;
   }
 
   /** Answers the question of an edge node, now or once the answer is sure. */
@@ -39,9 +67,9 @@
     }
     var message = find(partition, question);
     if (message.isPresent()) {
-      tellOnceSure(from, question, message.get());
+      tellOnceSure(from, question, partition, message.get());
     } else {
-      network.send(from, absent(question, true));
+      confirmed(partition, () -> tellOnceConfirmed(from, question, partition));
     }
   }
 
@@ -53,7 +81,8 @@
     } else if (!holder.get().open) {
       network.send(from, unsure(question, true));
     } else {
-      tellOnceSure(from, question, find(holder.get(), question).orElseThrow());
+      var partition = holder.get();
+      tellOnceSure(from, question, partition, find(partition, question).orElseThrow());
     }
   }
 
@@ -77,18 +106,29 @@
         && (question.flag("any") || message.host.equals(question.text("host")));
   }
 
-  private void tellOnceSure(String from, Frame question, Message message) {
+  private void tellOnceSure(String from, Frame question, Partition partition, Message message) {
     if (question.flag("any")) {
       tell(from, question, message);
     } else if (message.doubted) {
       return;
     } else if (message.waiting()) {
-      tell(from, question, message);
+      confirmed(partition, () -> tellOnceConfirmed(from, question, partition));
     } else {
       tellEnd(from, question, message);
     }
   }
 
+  private void tellOnceConfirmed(String from, Frame question, Partition partition) {
+    var found = find(partition, question);
+    if (found.isEmpty()) {
+      network.send(from, absent(question, true));
+    } else if (found.get().waiting() && !found.get().doubted) {
+      tell(from, question, found.get());
+    } else if (!found.get().doubted) {
+      tellEnd(from, question, found.get());
+    }
+  }
+
   private void tellEnd(String from, Frame question, Message message) {
     if (message.settling) {
       message.settleWaiters.add(() -> tell(from, question, message));
@@ -97,6 +137,34 @@
     }
   }
 
+  /** Questions that come while a confirmation is under way share the next one. */
+  private void confirmed(Partition partition, Runnable task) {
+    var confirmation = confirmations.get(partition.number);
+    if (confirmation == null || confirmation.openedEpoch != partition.openedEpoch) {
+      confirmation = new Confirmation(partition.openedEpoch);
+      confirmations.put(partition.number, confirmation);
+    }
+    confirmation.next.add(task);
+    if (confirmation.underWay.isEmpty()) {
+      confirmNext(partition, confirmation);
+    }
+  }
+
+  private void confirmNext(Partition partition, Confirmation confirmation) {
+    confirmation.underWay = confirmation.next;
+    confirmation.next = new ArrayList<>();
+    confirmer.confirm(
+        partition,
+        () -> {
+          var tasks = confirmation.underWay;
+          confirmation.underWay = List.of();
+          tasks.forEach(Runnable::run);
+          if (confirmation.underWay.isEmpty() && !confirmation.next.isEmpty()) {
+            confirmNext(partition, confirmation);
+          }
+        });
+  }
+
   private void tell(String from, Frame question, Message message) {
     var answer =
         answer(question)
--- a/src/main/java/wellwheel/queue/StorageNode.java
+++ b/src/main/java/wellwheel/queue/StorageNode.java
@@ -150,7 +150,7 @@
                     .with("tally", versions.rows()),
             this::onNews);
     stepsReport = new StepsReport(partitions.values(), steps, clusterLease);
-    stateQueries = new StateQueries(partitions, wire, clusterLease::ageUs);
+    stateQueries = new StateQueries(partitions, wire, clusterLease::ageUs, this::confirmPrimary);
     historyFeed = new HistoryFeed(history, clusterLease, partitions.values(), dispatchers.values());
   }
 
--- a/src/test/java/wellwheel/queue/RestartedPrimaryTest.java
+++ b/src/test/java/wellwheel/queue/RestartedPrimaryTest.java
@@ -145,6 +145,22 @@
     assertThat(look().small("state")).isEqualTo(Message.State.WAITING.ordinal());
   }
 
+  @Test
+  void aPrimaryThatNoCopyConfirmsDoesNotSayThatAMessageWaits() {
+    sentToControl.clear();
+    node.onFrame(
+        EDGE,
+        Frame.of("look")
+            .with("rid", 7)
+            .with("line", 0)
+            .with("id", "m1")
+            .with("tenant", "t")
+            .with("host", "h"));
+    assertThat(sentToControl).isEmpty();
+    copyConfirmsPrimary();
+    assertThat(sentToControl).hasSize(1);
+  }
+
   @Test
   void anEndIsShownOnceEveryCopyHasIt() {
     end(lease(), 200);
--- a/src/test/java/wellwheel/simulation/AcknowledgedStatesTest.java
+++ b/src/test/java/wellwheel/simulation/AcknowledgedStatesTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -66,6 +67,45 @@
     assertThat(watch.endedChecked).isGreaterThan(200);
   }
 
+  /**
+   * Guards against states told by a primary that another one has replaced without its knowledge.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void statesStayAsShownWhenMachinesAreCutIntoHalves(long seed) {
+    var play = new Scenario(seed, shape(seed)).up();
+    play.failsOneIn = 3;
+    play.load(24 * SECOND);
+    var watch = StateWatch.of(play);
+    for (var round = 0; round < 4; round++) {
+      play.run(2 * SECOND);
+      cutIntoHalves(play, 3 * SECOND);
+      play.run(3 * SECOND);
+    }
+    play.run(10 * SECOND);
+    assertThat(watch.endedChecked).isGreaterThan(400);
+    play.settle();
+  }
+
+  /** Cuts a storage node, and at times an edge and a control node, off from the other machines. */
+  private static void cutIntoHalves(Scenario play, long spanUs) {
+    var minority = new ArrayList<World.Host>();
+    for (var role : List.of("storage", "edge", "control")) {
+      if (role.equals("storage") || play.world.random().nextBoolean()) {
+        var hosts = play.world.hosts(role);
+        minority.add(hosts.get(play.world.random().nextInt(hosts.size())));
+      }
+    }
+    var edgesReachBoth = minority.size() == 1;
+    for (var role : List.of("storage", "edge", "control")) {
+      for (var other : play.world.hosts(role)) {
+        if (!minority.contains(other) && !(edgesReachBoth && role.equals("edge"))) {
+          minority.forEach(host -> play.world.cutPair(host, other, spanUs));
+        }
+      }
+    }
+  }
+
   private static World.Shape shape(long seed) {
     return seed % 2 == 0 ? World.Shape.four() : World.Shape.three();
   }
