What was read on a connection is answered before a stopping server closes it

Callers saw: a request sent on a kept connection before the one ahead of it had its answer was thrown away, unanswered, when the node was stopping, or when the answer ahead of it was one that closes its connection.

Cause: HttpServer closed the connection with the next answer in place of the last one owed.

Evidence: whatWasReadIsAnsweredBeforeADrainingServerCloses failed before (one answer of three) and passes now.

Fix: an answer closes the connection only if nothing waits behind it. A client's own Connection: close still ends what follows it.

--- a/src/main/java/wellwheel/transport/HttpServer.java
+++ b/src/main/java/wellwheel/transport/HttpServer.java
@@ -172,6 +172,9 @@
     private boolean headBegun;
     private boolean broken;
 
+    /** Whether the connection ends once all that was read has its answer. */
+    private boolean closing;
+
     Handler(Channel channel) {
       this.channel = channel;
       open.add(this);
@@ -315,10 +318,13 @@
           response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
         }
       }
-      send(response, answer.close() || !keepAlive || draining);
+      closing |= answer.close();
+      send(response, keepAlive);
     }
 
-    private void send(FullHttpResponse response, boolean close) {
+    /** What was read behind this request is answered before the connection is closed. */
+    private void send(FullHttpResponse response, boolean keepAlive) {
+      var close = !keepAlive || (closing || draining) && waiting.isEmpty();
       if (close) {
         response.headers().set(HttpHeaderNames.CONNECTION, "close");
       }
@@ -341,7 +347,7 @@
       if (answer.status() != HttpResponseStatus.NO_CONTENT.code()) {
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
       }
-      send(response, !keepAlive || draining);
+      send(response, keepAlive);
     }
 
     void done(Request request, Exchange.Answer answer) {
--- a/src/test/java/wellwheel/transport/HttpServerTest.java
+++ b/src/test/java/wellwheel/transport/HttpServerTest.java
@@ -225,4 +225,53 @@
       assertThat(all).endsWith("sound.");
     }
   }
+
+  private interface Step {
+    void run(HttpServer server) throws Exception;
+  }
+
+  /** Does a step with a server of its own, whose requests are all held. */
+  private static void withServer(Step step) throws Exception {
+    var loop = GROUP.next();
+    var caps = new Configuration.Caps(512, 64, 300_000, 400_000);
+    var server = new HttpServer(loop, new LoopClock(loop), () -> caps, 100, HELD::add);
+    int ownPort;
+    try (var socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      ownPort = socket.getLocalPort();
+    }
+    server.open("127.0.0.1:" + ownPort);
+    var shared = port;
+    port = ownPort;
+    try {
+      step.run(server);
+    } finally {
+      port = shared;
+    }
+  }
+
+  private static String readAll(Socket socket) throws IOException {
+    return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+  }
+
+  private static String get(String target) {
+    return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
+  }
+
+  /** Guards against requests that were read behind another one and lost as the server drained. */
+  @Test
+  void whatWasReadIsAnsweredBeforeADrainingServerCloses() throws Exception {
+    withServer(
+        server -> {
+          try (var socket = connection(get("/held/1") + get("/held/2") + get("/held/3"))) {
+            var first = held();
+            GROUP.next().submit(server::drain).sync();
+            answer(first, "one.");
+            answer(held(), "two.");
+            answer(held(), "three.");
+            var all = readAll(socket);
+            assertThat(all.split("HTTP/1.1 200", -1)).hasLength(4);
+            assertThat(all.split("(?i)connection: close", -1)).hasLength(2);
+          }
+        });
+  }
 }
