--- a/src/main/java/wellwheel/control/ControlDaemon.java
+++ b/src/main/java/wellwheel/control/ControlDaemon.java
@@ -31,6 +31,9 @@
   private static final long POLL_US = 900_000;
   private static final long LEAVE_MOST_US = 4_000_000;
   private static final long END_MARGIN_US = 1_500_000;
+  private static final long LEAVE_CHECK_US = 20_000;
+  private static final long LAST_CALLS_US = 150_000;
+  private static final long LAST_ANSWERS_US = 30_000;
   private static final int BAD_STATE_STATUS = 79;
   private static final int PAGES_MOST = 200;
   private static final Configuration.Caps CAPS =
@@ -38,9 +41,11 @@
   private final NodeRuntime nodeRuntime;
   private final ControlNode node;
   private final PooledHttpClient caller;
+  private final HttpServer operators;
   private Optional<Scaler> scaler = Optional.empty();
   private boolean polling;
   private boolean leaving;
+  private boolean ending;
   private long lastPollUs;
   private long leftUs;
 
@@ -56,10 +61,10 @@
         new ControlNode(options, nodeRuntime.clock(), links, disk, new SecureRandom().nextLong());
     node.onBroken(ControlDaemon::stop);
     links.open(node);
-    var control =
+    operators =
         new HttpServer(nodeRuntime.loop(), nodeRuntime.clock(), () -> CAPS, 512, this::serve);
-    control.open(options.control());
-    control.watch();
+    operators.open(options.control());
+    operators.watch();
     nodeRuntime.clock().every(TICK_US, node::tick);
     nodeRuntime.clock().every(1_000_000, node::learn);
     if (options.functions().deployed()) {
@@ -105,14 +110,22 @@
     nodeRuntime
         .clock()
         .every(
-            20_000,
+            LEAVE_CHECK_US,
             () -> {
-              if (node.raft().leave() || nodeRuntime.clock().steadyUs() - leftUs > mostUs) {
-                nodeRuntime.clock().after(150_000, nodeRuntime::end);
+              var late = nodeRuntime.clock().steadyUs() - leftUs > mostUs;
+              if (!ending && (node.raft().leave() || late)) {
+                ending = true;
+                nodeRuntime.clock().after(LAST_CALLS_US, this::end);
               }
             });
   }
 
+  /** Ends the process; calls that are still under way get an answer that promises nothing. */
+  private void end() {
+    operators.answerOpen();
+    nodeRuntime.clock().after(LAST_ANSWERS_US, nodeRuntime::end);
+  }
+
   private void serve(Exchange exchange) {
     var segments = exchange.target().split("\\?", 2)[0].split("/", -1);
     var call = exchange.method() + " " + (segments.length > 1 ? segments[1] : "");
--- a/src/main/java/wellwheel/edge/EdgeNode.java
+++ b/src/main/java/wellwheel/edge/EdgeNode.java
@@ -25,11 +25,12 @@
 import wellwheel.transport.Exchange;
 import wellwheel.transport.Exchange.Answer;
 import wellwheel.transport.Frame;
+import wellwheel.transport.GracefulShutdown;
 import wellwheel.transport.Network;
 import wellwheel.transport.RequestFields;
 
 /** State machine of an edge node: admission, hand-ins, look-ups, pulls and ends of jobs. */
-public final class EdgeNode implements Network.MessageHandler {
+public final class EdgeNode implements Network.MessageHandler, GracefulShutdown.Node {
   private static final System.Logger LOG = System.getLogger("edge");
   private static final long CLAIM_MARGIN_US = 1_000_000;
   private static final long ASK_AGAIN_US = 250_000;
@@ -1181,13 +1182,16 @@
     }
   }
 
+  @Override
   public synchronized void leave() {
+    LOG.log(System.Logger.Level.INFO, "leaving");
     leaving = true;
     clusterLease.renew();
     flushHits();
   }
 
-  public synchronized void close() {
+  @Override
+  public synchronized void drain() {
     closing = true;
     List.copyOf(pulls.values())
         .forEach(
@@ -1197,10 +1201,34 @@
             });
   }
 
+  /** Refuses hand-ins that no storage node has been sent. */
+  @Override
+  public synchronized void refuseWaiting() {
+    puts.entrySet().stream()
+        .filter(entry -> entry.getValue().sentTo.isEmpty() && !entry.getValue().unsure)
+        .toList()
+        .forEach(entry -> giveUp(entry.getKey(), entry.getValue()));
+  }
+
+  @Override
+  public synchronized void answerRest() {
+    refuseWaiting();
+    for (var entry : List.copyOf(puts.entrySet())) {
+      entry.getValue().unsure = true;
+      giveUp(entry.getKey(), entry.getValue());
+    }
+    looks.values().forEach(look -> look.exchange.answer(Answer.later(ResultCode.NOT_KEPT, 1)));
+    looks.clear();
+    ends.values().forEach(end -> end.exchange.answer(Answer.later(ResultCode.NOT_KEPT, 1)));
+    ends.clear();
+  }
+
+  @Override
   public synchronized boolean idle() {
     return puts.isEmpty() && looks.isEmpty() && ends.isEmpty();
   }
 
+  @Override
   public synchronized void flush() {
     flushHits();
   }
--- a/src/main/java/wellwheel/functions/FrontNode.java
+++ b/src/main/java/wellwheel/functions/FrontNode.java
@@ -16,6 +16,7 @@
 import wellwheel.runtime.WakeUpTimer;
 import wellwheel.transport.Exchange;
 import wellwheel.transport.Frame;
+import wellwheel.transport.GracefulShutdown;
 import wellwheel.transport.Network;
 import wellwheel.transport.RequestFields;
 
@@ -24,7 +25,7 @@
  * the owner of some. Whoever dies in between leaves an {@code unsafe} request unknown; a {@code
  * safe} one is passed on again.
  */
-public final class FrontNode implements Network.MessageHandler {
+public final class FrontNode implements Network.MessageHandler, GracefulShutdown.Node {
   private static final System.Logger LOG = System.getLogger("front");
   private static final int OPEN_MOST = 4096;
   private static final long DEFAULT_TIME_LEFT_US = 10_000_000;
@@ -76,6 +77,9 @@
   private int owned;
   private boolean leaving;
 
+  /** Whether nothing is passed on any more, as the process is about to end. */
+  private boolean refusing;
+
   public FrontNode(
       NodeOptions options, Clock clock, Network network, InstanceClient client, long incarnation) {
     this.options = options;
@@ -207,6 +211,11 @@
   }
 
   private void passOn(long number, Passed each) {
+    if (refusing) {
+      each.ownerIp = "";
+      over(number, new CallOutcome.Ended(ResultCode.NO_INSTANCE));
+      return;
+    }
     var nowUs = clock.steadyUs();
     var leftUs = each.untilUs - nowUs;
     each.ownerIp =
@@ -214,7 +223,10 @@
     if (each.ownerIp.isEmpty()) {
       clock.after(PASS_AGAIN_US, () -> passAgain(number));
     } else if (each.ownerIp.equals(options.ip())) {
-      own(each.call.withLeft(leftUs), outcome -> over(number, outcome));
+      own(
+          new FunctionPool.CallKey(options.ip(), number),
+          each.call.withLeft(leftUs),
+          outcome -> over(number, outcome));
     } else {
       network.send(each.ownerIp, each.call.withLeft(leftUs).toFrame(number));
     }
@@ -237,7 +249,11 @@
     return nowUs - downUs.getOrDefault(ip, Long.MIN_VALUE / 2) > DOWN_US;
   }
 
-  private void own(FunctionCall call, Consumer<CallOutcome> done) {
+  private void own(FunctionPool.CallKey key, FunctionCall call, Consumer<CallOutcome> done) {
+    if (refusing) {
+      done.accept(new CallOutcome.Moved());
+      return;
+    }
     var service = clusterLease.configuration().service(call.service());
     var function = service.flatMap(Configuration.Service::function);
     if (function.isEmpty()) {
@@ -249,6 +265,7 @@
     pool.bounds(function.get().slots(), service.get().maxConns());
     owned++;
     pool.submit(
+        key,
         call,
         outcome -> {
           owned--;
@@ -346,8 +363,12 @@
       case "claim.ok", "claim.no", "news" -> clusterLease.onFrame(from, frame);
       case FunctionCall.KIND -> {
         var number = frame.number("rid");
-        own(FunctionCall.read(frame), outcome -> network.send(from, outcome.toFrame(number)));
+        own(
+            new FunctionPool.CallKey(from, number),
+            FunctionCall.read(frame),
+            outcome -> network.send(from, outcome.toFrame(number)));
       }
+      case CallWithdrawal.KIND -> withdraw(from, CallWithdrawal.read(frame));
       case CallOutcome.KIND -> over(frame.number("rid"), CallOutcome.read(frame));
       case OwnerTable.KIND -> take(OwnerTable.read(frame));
       case Scaler.ASSIGNED -> frame.frames("rows").forEach(this::assign);
@@ -413,7 +434,13 @@
     }
   }
 
+  private void withdraw(String frontIp, CallWithdrawal withdrawal) {
+    var key = new FunctionPool.CallKey(frontIp, withdrawal.requestNumber());
+    List.copyOf(pools.values()).forEach(pool -> pool.withdraw(key));
+  }
+
   /** Begins to leave: no more clients are wanted, and functions get other owners. */
+  @Override
   public synchronized void leave() {
     leaving = true;
     clusterLease.renew();
@@ -421,7 +448,36 @@
     LOG.log(System.Logger.Level.INFO, "leaves with " + pools.size() + " functions");
   }
 
-  /** Whether nothing is under way. */
+  /**
+   * Asks the owners for what still waits there and refuses it here; calls of other fronts that wait
+   * here go back to them. What runs at an instance goes on.
+   */
+  @Override
+  public synchronized void refuseWaiting() {
+    refusing = true;
+    for (var entry : List.copyOf(passed.entrySet())) {
+      recall(entry.getKey(), entry.getValue());
+    }
+    List.copyOf(pools.values()).forEach(FunctionPool::handBack);
+  }
+
+  private void recall(long number, Passed each) {
+    if (each.ownerIp.isEmpty()) {
+      passOn(number, each);
+    } else if (each.ownerIp.equals(options.ip())) {
+      withdraw(options.ip(), new CallWithdrawal(number));
+    } else {
+      network.send(each.ownerIp, new CallWithdrawal(number).toFrame());
+    }
+  }
+
+  @Override
+  public synchronized void answerRest() {
+    List.copyOf(passed.keySet())
+        .forEach(number -> over(number, new CallOutcome.Ended(ResultCode.RUN_UNKNOWN)));
+  }
+
+  @Override
   public synchronized boolean idle() {
     return passed.isEmpty() && owned == 0;
   }
--- a/src/main/java/wellwheel/functions/FunctionPool.java
+++ b/src/main/java/wellwheel/functions/FunctionPool.java
@@ -46,14 +46,19 @@
     void pumpAt(FunctionPool pool, long atUs);
   }
 
+  /** Names a call: the front that passed it on, and the front's number for it. */
+  record CallKey(String frontIp, long number) {}
+
   private static final class Waiting {
+    final CallKey key;
     final FunctionCall call;
     final long untilUs;
     final Consumer<CallOutcome> done;
     int offers;
     boolean mayHaveRun;
 
-    Waiting(FunctionCall call, long untilUs, Consumer<CallOutcome> done) {
+    Waiting(CallKey key, FunctionCall call, long untilUs, Consumer<CallOutcome> done) {
+      this.key = key;
       this.call = call;
       this.untilUs = untilUs;
       this.done = done;
@@ -97,13 +102,13 @@
     return waiting > 0 || running > 0;
   }
 
-  void submit(FunctionCall call, Consumer<CallOutcome> done) {
+  void submit(CallKey key, FunctionCall call, Consumer<CallOutcome> done) {
     arrivals++;
     if (waiting >= WAITING_MOST) {
       done.accept(new CallOutcome.Ended(ResultCode.NO_INSTANCE));
       return;
     }
-    enqueue(new Waiting(call, clock.steadyUs() + call.leftUs(), done), false);
+    enqueue(new Waiting(key, call, clock.steadyUs() + call.leftUs(), done), false);
     pump();
   }
 
@@ -180,7 +185,23 @@
     }
   }
 
-  private void handBack() {
+  /** Ends a call that waits here; one that runs goes on. */
+  void withdraw(CallKey key) {
+    for (var queue : waitingByRank.values()) {
+      for (Iterator<Waiting> all = queue.iterator(); all.hasNext(); ) {
+        var each = all.next();
+        if (each.key.equals(key)) {
+          all.remove();
+          waiting--;
+          giveUp(each);
+          return;
+        }
+      }
+    }
+  }
+
+  /** Gives all that waits back to the fronts it came from. */
+  void handBack() {
     for (var queue : waitingByRank.values()) {
       for (var each = queue.pollFirst(); each != null; each = queue.pollFirst()) {
         waiting--;
--- a/src/main/java/wellwheel/runtime/ResultCode.java
+++ b/src/main/java/wellwheel/runtime/ResultCode.java
@@ -33,6 +33,7 @@
   OUT_OF_TIME(3007, 504, "no answer within the request's time; it may have run"),
   BODIES_FULL(
       3008, 503, "too many bytes of requests are held; this one was not taken and will never run"),
+  LEAVING(3009, 503, "this node is stopping; the request was not taken and will never run"),
   BAD_CONFIG(4000, 400, "the configuration is invalid"),
   OTHER_BASE(4001, 412, "another version is current"),
   NO_NODE(4002, 404, "no such storage node"),
--- a/src/main/java/wellwheel/transport/HttpServer.java
+++ b/src/main/java/wellwheel/transport/HttpServer.java
@@ -43,7 +43,7 @@
 import wellwheel.runtime.ResultCode;
 
 /** Serves HTTP/1.1 on an event loop, strictly: what cannot be read without doubt is refused. */
-public final class HttpServer {
+public final class HttpServer implements GracefulShutdown.Clients {
   private static final int PIPELINE_MOST = 16;
   private static final long WATCH_US = 500_000;
   private final EventLoop loop;
@@ -54,6 +54,7 @@
   private final BodyBudget budget;
   private final Set<Handler> open = new HashSet<>();
   private boolean draining;
+  private boolean refusing;
 
   public HttpServer(
       EventLoop loop,
@@ -124,14 +125,29 @@
     clock.every(WATCH_US, () -> List.copyOf(open).forEach(Handler::watch));
   }
 
+  @Override
   public void drain() {
     draining = true;
   }
 
+  @Override
   public void closeIdle() {
     List.copyOf(open).forEach(Handler::closeIfIdle);
   }
 
+  @Override
+  public void refuseNew() {
+    drain();
+    refusing = true;
+  }
+
+  @Override
+  public void answerOpen() {
+    refuseNew();
+    List.copyOf(open).forEach(Handler::answerOpen);
+  }
+
+  @Override
   public int connections() {
     return open.size();
   }
@@ -280,6 +296,8 @@
         busy = Optional.of(request);
         if (request.incoming.refused()) {
           request.answer(Exchange.Answer.later(ResultCode.BODIES_FULL, 1));
+        } else if (refusing) {
+          request.answer(Exchange.Answer.later(ResultCode.LEAVING, 1));
         } else {
           LoopClock.guarded(() -> handler.accept(request));
         }
@@ -395,6 +413,10 @@
       }
     }
 
+    void answerOpen() {
+      busy.ifPresent(request -> request.answer(Exchange.Answer.of(ResultCode.UNSURE)));
+    }
+
     void closeIfIdle() {
       if (busy.isEmpty() && head.isEmpty() && waiting.isEmpty()) {
         channel.close();
--- a/src/test/java/wellwheel/cli/ProcessesTest.java
+++ b/src/test/java/wellwheel/cli/ProcessesTest.java
@@ -1,45 +1,23 @@
 package wellwheel.cli;
 
 import static com.google.common.truth.Truth.assertThat;
-import static com.google.common.truth.Truth.assertWithMessage;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import dev.failsafe.Failsafe;
-import dev.failsafe.RetryPolicy;
 import java.io.IOException;
-import java.io.PrintWriter;
-import java.io.StringWriter;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.api.parallel.Isolated;
 
 @Isolated
-class ProcessesTest {
-  private static final RetryPolicy<Object> SOON =
-      RetryPolicy.builder()
-          .handle(AssertionError.class, IOException.class)
-          .withDelay(Duration.ofMillis(100))
-          .withMaxRetries(-1)
-          .withMaxDuration(Duration.ofSeconds(40))
-          .build();
+class ProcessesTest extends ProcessFixture {
   private static final String CONFIG =
       "{\"Revision\":%d,\"Routing\":[{\"Name\":\"a\",\"Host\":\"wheel.example\",\"PathStart\":\"/desk/\",\"Type\":\"background\",\"GiveUpMs\":800,\"TargetMs\":100,\"Rank\":1,"
           + "\"Backend\":\"desk\",\"Tries\":4,\"InOrder\":true,\"KeepForS\":60,\"StartTargetMs\":500,\"Public\":false},{\"Name\":\"b\",\"Host\":\"wheel.example\",\"PathStart\":\"/pulled/\",\"Type\":\"background\","
@@ -47,55 +25,10 @@
           + "{\"Name\":\"desk\",\"MaxConns\":40,\"RatePerS\":0,\"DropsRepeats\":false,\"WorkerPull\":false,\"Endpoint\":null},{\"Name\":\"pulled\",\"MaxConns\":40,\"RatePerS\":0,\"DropsRepeats\":false,\"WorkerPull\":true,\"Endpoint\":null}],"
           + "\"Customers\":[{\"Name\":\"co-op\",\"ApiKeys\":[\"try-me\"],\"RatePerS\":900,\"Burst\":900}]}";
 
-  @TempDir Path home;
-
-  private final List<Process> processes = new ArrayList<>();
-  private final List<HttpServer> servers = new ArrayList<>();
   private final Map<String, String> seals = new ConcurrentHashMap<>();
   private final List<String> order = new ArrayList<>();
-  private int inner;
-  private int control;
-  private int front;
-  private HttpServer platform;
   private volatile String listed = "";
 
-  @AfterEach
-  void end() throws InterruptedException {
-    processes.forEach(Process::destroyForcibly);
-    for (var process : processes) {
-      process.waitFor(10, TimeUnit.SECONDS);
-    }
-    servers.forEach(server -> server.stop(0));
-  }
-
-  private static int freePort() throws IOException {
-    try (var socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
-  }
-
-  private HttpServer serve(com.sun.net.httpserver.HttpHandler handler) throws IOException {
-    var server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 50);
-    server.createContext("/", handler);
-    server.start();
-    servers.add(server);
-    return server;
-  }
-
-  private static void reply(HttpExchange exchange, int status, String seal, String body)
-      throws IOException {
-    exchange.getRequestBody().readAllBytes();
-    exchange
-        .getResponseHeaders()
-        .set("Attempt-Id", String.valueOf(exchange.getRequestHeaders().getFirst("Attempt-Id")));
-    if (!seal.isEmpty()) {
-      exchange.getResponseHeaders().set("Server-Seal", seal);
-    }
-    exchange.sendResponseHeaders(status, body.length());
-    exchange.getResponseBody().write(body.getBytes(StandardCharsets.UTF_8));
-    exchange.close();
-  }
-
   private synchronized void handle(HttpExchange exchange, boolean works) throws IOException {
     var id = exchange.getRequestHeaders().getFirst("Attempt-Id");
     var seal = "seal-" + id;
@@ -116,82 +49,6 @@
         + "\",\"Capacity\":8,\"State\":\"ready\",\"ColdLeftMs\":0}";
   }
 
-  private void launch(String name, String ip, String... main) throws IOException {
-    var options = home.resolve(name + ".json");
-    var data = Files.createDirectories(home.resolve(name));
-    Files.writeString(
-        options,
-        "{\"NodeName\":\""
-            + name
-            + "\",\"Ip\":\""
-            + ip
-            + "\",\"Zone\":\"here\",\"ListenOn\":{\"Control\":\""
-            + ip
-            + ":"
-            + control
-            + "\",\"FrontHttp\":\""
-            + ip
-            + ":"
-            + front
-            + "\",\"Readiness\":\""
-            + ip
-            + ":"
-            + control
-            + "\"},\"InternalPorts\":["
-            + inner
-            + ","
-            + inner
-            + "],\"SeedNodes\":[\"127.0.0.1:"
-            + control
-            + "\"],\"FirstBoot\":true,\"DataDir\":\""
-            + data
-            + "\",\"Survive\":{\"Machines\":0},\"Watch\":{\"Enabled\":true},"
-            + "\"PlatformApi\":{\"Address\":\"127.0.0.1:"
-            + platform.getAddress().getPort()
-            + "\",\"RatePerS\":20}}");
-    var command =
-        new ArrayList<>(
-            List.of(
-                System.getProperty("java.home") + "/bin/java",
-                "-Xmx96m",
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                System.getProperty("java.class.path")));
-    command.addAll(List.of(main));
-    var builder =
-        new ProcessBuilder(command)
-            .redirectErrorStream(true)
-            .redirectOutput(home.resolve(name + ".log").toFile());
-    builder.environment().put("WELLWHEEL_CONFIG", options.toString());
-    processes.add(builder.start());
-  }
-
-  private String operator(int wanted, String... words) {
-    var out = new StringWriter();
-    var err = new StringWriter();
-    var all = new ArrayList<>(List.of(words));
-    if (!all.contains("--control")) {
-      all.addAll(List.of("--control", "127.0.0.9:" + control + ",127.0.0.1:" + control));
-    }
-    var status =
-        WellwheelCtl.line(new PrintWriter(out, true), new PrintWriter(err, true))
-            .execute(all.toArray(String[]::new));
-    assertWithMessage("%s: %s%s", all, out, err).that(status).isEqualTo(wanted);
-    assertThat(err.toString()).doesNotContain("\tat ");
-    return out + err.toString();
-  }
-
-  private HttpResponse<String> ask(String method, String target, String body, String... headers)
-      throws IOException, InterruptedException {
-    var request =
-        HttpRequest.newBuilder(URI.create("http://127.0.0.4:" + front + target))
-            .timeout(Duration.ofSeconds(3))
-            .method(method, HttpRequest.BodyPublishers.ofString(body))
-            .headers(headers);
-    return HttpClient.newHttpClient().send(request.build(), HttpResponse.BodyHandlers.ofString());
-  }
-
   private void handIn(String path, String id) {
     Failsafe.with(SOON)
         .run(
@@ -229,14 +86,7 @@
   }
 
   private void start() throws IOException {
-    System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
-    inner = freePort();
-    control = freePort();
-    front = freePort();
-    platform =
-        serve(
-            exchange ->
-                reply(exchange, 200, "", "{\"Servers\":[" + listed + "],\"NextToken\":null}"));
+    open(exchange -> reply(exchange, 200, "", "{\"Servers\":[" + listed + "],\"NextToken\":null}"));
     launch("control-1", "127.0.0.1", "wellwheel.control.ControlDaemon");
     launch("storage-1", "127.0.0.2", "wellwheel.Main", "storage");
     launch("storage-2", "127.0.0.3", "wellwheel.Main", "storage");
--- a/src/test/java/wellwheel/edge/EdgeNodeTest.java
+++ b/src/test/java/wellwheel/edge/EdgeNodeTest.java
@@ -301,4 +301,29 @@
         Frame.of("put.ok").with("rid", second.frame().number("rid")).with("r", "kept"));
     assertThat(client.statuses()).containsExactly(202);
   }
+
+  /** Guards against hand-ins, questions and ends that are cut as the process ends. */
+  @Test
+  void whatWaitsWhenTheProcessEndsIsAnsweredAndRefusedOnlyIfItWasNeverSent() throws Exception {
+    var node = edge(1);
+    var sentOn = keyed(node, "sent", KEY);
+    node.onDown(STORAGE);
+    var waits = keyed(node, "waits", KEY);
+    assertThat(asked("put")).hasSize(1);
+    var question =
+        new Client("GET", "/message/0-m", Map.of("Host", "h", "Authorization", "Bearer k"));
+    node.onExchange(question);
+    var end = new Client("POST", "/job-end/m", Map.of("Lease", "0.1.1", "Job-Result", "200"));
+    node.onExchange(end);
+    node.leave();
+    assertThat(waits.answers).isEmpty();
+    node.refuseWaiting();
+    assertThat(waits.statuses()).containsExactly(503);
+    assertThat(sentOn.answers).isEmpty();
+    node.answerRest();
+    assertThat(sentOn.statuses()).containsExactly(504);
+    assertThat(question.statuses()).containsExactly(503);
+    assertThat(end.statuses()).containsExactly(503);
+    assertThat(node.idle()).isTrue();
+  }
 }
--- a/src/test/java/wellwheel/functions/FunctionPoolTest.java
+++ b/src/test/java/wellwheel/functions/FunctionPoolTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import wellwheel.runtime.EventQueue;
 import wellwheel.runtime.ResultCode;
 import wellwheel.transport.Frame;
 import wellwheel.transport.PooledHttpClient;
@@ -63,11 +64,15 @@
     return new Frame().with("i", id).with("a", id + ":80").with("y", proven);
   }
 
+  private static FunctionPool.CallKey key(String id) {
+    return new FunctionPool.CallKey("10.0.0.7", id.hashCode());
+  }
+
   private void submit(String id, int rank, boolean repeatable, int tries, long leftUs) {
     var call =
         new FunctionCall(
             "f", id, "POST", "/x", List.of(), new byte[0], rank, repeatable, tries, leftUs, 1);
-    pool.submit(call, outcome -> ends.add(id + " " + text(outcome)));
+    pool.submit(key(id), call, outcome -> ends.add(id + " " + text(outcome)));
   }
 
   private void submit(String id) {
@@ -217,4 +222,30 @@
     answer(0, 200);
     assertThat(ends).containsExactly("waits moved", "runs 200");
   }
+
+  /** Guards against a refusal of a call that runs, when its front stops. */
+  @Test
+  void onlyACallThatWaitsCanBeWithdrawn() {
+    pool.bounds(1, 10);
+    pool.assign(List.of(instance("a", true)));
+    submit("runs");
+    submit("waits");
+    pool.withdraw(key("runs"));
+    pool.withdraw(key("waits"));
+    pool.withdraw(key("unknown"));
+    assertThat(ends).containsExactly("waits NO_INSTANCE");
+    answer(0, 200);
+    assertThat(ends).containsExactly("waits NO_INSTANCE", "runs 200").inOrder();
+    assertThat(sent).hasSize(1);
+  }
+
+  @Test
+  void aWithdrawnCallThatMayHaveRunIsNotCalledUnrun() {
+    pool.bounds(1, 10);
+    pool.assign(List.of(instance("a", true)));
+    submit("again", 1, true, 3, 5_000_000);
+    ends(0, Fate.UNKNOWN);
+    pool.withdraw(key("again"));
+    assertThat(ends).containsExactly("again RUN_UNKNOWN");
+  }
 }
--- a/src/test/java/wellwheel/functions/FunctionsModelTest.java
+++ b/src/test/java/wellwheel/functions/FunctionsModelTest.java
@@ -123,4 +123,31 @@
     settleAndCheck(world);
     assertThat(served(world)).isGreaterThan(0.95);
   }
+
+  /** Guards against fronts that end with calls unanswered that wait for an instance. */
+  @ParameterizedTest
+  @ValueSource(longs = {51, 52, 53, 54, 55, 56})
+  void whatWaitsInAFrontThatStopsIsAnswered(long seed) throws Exception {
+    var world = new FunctionsWorld(seed, 6);
+    world.time.runFor(2 * SECOND);
+    world.call(80, 24 * SECOND);
+    world.time.runFor(3 * SECOND);
+    world.platform.full = true;
+    for (var ip : world.frontIps()) {
+      world.platform.alive().stream()
+          .filter(each -> world.random.nextInt(3) == 0)
+          .toList()
+          .forEach(world.platform::crash);
+      world.stop(ip, 3 * SECOND);
+      world.time.runFor(1_500_000 + world.random.nextInt(1_800_000));
+    }
+    world.time.runFor(3 * SECOND);
+    world.platform.full = false;
+    for (var ip : world.frontIps()) {
+      world.boot(ip);
+    }
+    settleAndCheck(world);
+    assertThat(world.unanswered()).isEqualTo(0);
+    assertThat(world.calls.stream().filter(call -> call.status == 503).count()).isAtLeast(20);
+  }
 }
--- a/src/test/java/wellwheel/functions/FunctionsWorld.java
+++ b/src/test/java/wellwheel/functions/FunctionsWorld.java
@@ -11,8 +11,10 @@
 import wellwheel.cluster.ClusterView;
 import wellwheel.config.Configuration;
 import wellwheel.config.NodeOptions;
+import wellwheel.runtime.EventQueue;
 import wellwheel.transport.Exchange;
 import wellwheel.transport.Frame;
+import wellwheel.transport.GracefulShutdown;
 import wellwheel.transport.Network;
 
 /** Fronts, scalers and a platform in simulated time, with the calls of clients and their ends. */
@@ -22,6 +24,26 @@
   private static final int SLOTS = 2;
   private static final long LINK_US = 900;
 
+  private static final GracefulShutdown.Clients NO_CLIENTS =
+      new GracefulShutdown.Clients() {
+        @Override
+        public void drain() {}
+
+        @Override
+        public void closeIdle() {}
+
+        @Override
+        public void refuseNew() {}
+
+        @Override
+        public void answerOpen() {}
+
+        @Override
+        public int connections() {
+          return 0;
+        }
+      };
+
   /** A client's call and its answer. */
   static final class Call implements Exchange {
     final String id;
@@ -308,6 +330,14 @@
                     }));
   }
 
+  /** Stops a front as its process does at SIGTERM, within a grace of some microseconds. */
+  void stop(String ip, long graceUs) {
+    var front = fronts.get(ip);
+    new GracefulShutdown(
+            time.clock(() -> front.up), graceUs, NO_CLIENTS, front.node, () -> kill(ip))
+        .begin();
+  }
+
   /** Stops a front in order. */
   void term(String ip) {
     var front = fronts.get(ip);
--- a/src/test/java/wellwheel/functions/SimulatedPlatform.java
+++ b/src/test/java/wellwheel/functions/SimulatedPlatform.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
+import wellwheel.runtime.EventQueue;
 import wellwheel.transport.PooledHttpClient;
 import wellwheel.transport.PooledHttpClient.Fate;
 
@@ -56,6 +57,10 @@
   final Map<String, Integer> runs = new HashMap<>();
   int overLimit;
   int started;
+
+  /** Whether no worker has room for another instance. */
+  boolean full;
+
   int fencedOff;
   private long highestFence;
 
@@ -113,6 +118,10 @@
           return;
         }
         highestFence = fence;
+        if (full) {
+          reply(() -> done.accept(new Start.NoRoom()), () -> done.accept(new Start.Unclear()));
+          return;
+        }
         var instance = byKey.computeIfAbsent(key, each -> begin(service, worker));
         reply(
             () -> done.accept(new Start.Begun(instance.id, instance.address)),
--- a/src/test/java/wellwheel/functions/EventQueue.java
+++ b/src/test/java/wellwheel/runtime/EventQueue.java
@@ -1,10 +1,9 @@
-package wellwheel.functions;
+package wellwheel.runtime;
 
 import java.util.PriorityQueue;
-import wellwheel.runtime.Clock;
 
 /** Simulated time: tasks run in the order of their times, those of one time in turn. */
-final class EventQueue {
+public final class EventQueue {
   private record Event(long atUs, long number, Runnable task) {}
 
   private final PriorityQueue<Event> events =
@@ -14,13 +13,13 @@
                   ? Long.compare(a.number(), b.number())
                   : Long.compare(a.atUs(), b.atUs()));
   private long number;
-  long nowUs = 10_000_000;
+  public long nowUs = 10_000_000;
 
-  void after(long waitUs, Runnable task) {
+  public void after(long waitUs, Runnable task) {
     events.add(new Event(nowUs + Math.max(0, waitUs), number++, task));
   }
 
-  void runFor(long spanUs) {
+  public void runFor(long spanUs) {
     var untilUs = nowUs + spanUs;
     while (!events.isEmpty() && events.peek().atUs() <= untilUs) {
       var event = events.poll();
@@ -31,7 +30,7 @@
   }
 
   /** A clock whose timers fire only while the process that it belongs to lives. */
-  Clock clock(java.util.function.BooleanSupplier lives) {
+  public Clock clock(java.util.function.BooleanSupplier lives) {
     return new Clock() {
       @Override
       public long steadyUs() {
--- a/src/test/java/wellwheel/transport/HttpServerTest.java
+++ b/src/test/java/wellwheel/transport/HttpServerTest.java
@@ -274,4 +274,34 @@
           }
         });
   }
+
+  /** Guards against connections cut without an answer when the process ends. */
+  @Test
+  void whatIsOpenAtTheEndIsAnsweredAndWhatWaitsBehindItIsRefused() throws Exception {
+    withServer(
+        server -> {
+          try (var socket = connection(get("/held/1") + get("/held/2"))) {
+            var first = held();
+            GROUP.next().submit(server::answerOpen).sync();
+            var all = readAll(socket);
+            assertThat(all).startsWith("HTTP/1.1 504");
+            assertThat(all).contains("HTTP/1.1 503");
+            assertThat(all).contains("3009");
+            answer(first, "late.");
+            assertThat(HELD).isEmpty();
+          }
+        });
+  }
+
+  @Test
+  void newRequestsAreRefusedOnceTheProcessIsAboutToEnd() throws Exception {
+    withServer(
+        server -> {
+          GROUP.next().submit(server::refuseNew).sync();
+          try (var socket = connection(get("/held"))) {
+            assertThat(readAll(socket)).startsWith("HTTP/1.1 503");
+          }
+          assertThat(HELD).isEmpty();
+        });
+  }
 }
