--- /dev/null
+++ b/src/main/java/wellwheel/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which requests of clients are let in. */
+package wellwheel.admission;
--- a/src/main/java/wellwheel/config/Configuration.java
+++ b/src/main/java/wellwheel/config/Configuration.java
@@ -29,7 +29,7 @@
 public final class Configuration {
   public static final Configuration NONE =
       new Configuration(
-          0, List.of(), Map.of(), List.of(), new Caps(16384, 262144, 3_000_000, 15_000_000));
+          0, List.of(), Map.of(), Tenants.NONE, new Caps(16384, 262144, 3_000_000, 15_000_000));
 
   /** What is promised of a route's requests. */
   public enum Kind {
@@ -89,6 +89,15 @@
   /** A tenant and its limit. */
   public record Tenant(String name, double perS, double burst) {}
 
+  /**
+   * The tenants of a configuration, also those without a key.
+   *
+   * @param listed whether the configuration contains a list of tenants, be it empty
+   */
+  private record Tenants(boolean listed, Set<String> names, Map<String, Tenant> byKey) {
+    static final Tenants NONE = new Tenants(false, Set.of(), Map.of());
+  }
+
   /** Bounds of what clients may send. */
   public record Caps(int headerBytes, int bodyBytes, long headerWaitUs, long idleUs) {}
 
@@ -103,25 +112,21 @@
   private final List<Path> paths;
   private final Map<String, List<Path>> pathsByHost = new HashMap<>();
   private final Map<String, Service> services;
-  private final Map<String, Tenant> tenantsByKey = new HashMap<>();
+  private final Tenants tenants;
   private final Caps caps;
 
   private Configuration(
-      long revision,
-      List<Path> paths,
-      Map<String, Service> services,
-      List<Map.Entry<String, Tenant>> keys,
-      Caps caps) {
+      long revision, List<Path> paths, Map<String, Service> services, Tenants tenants, Caps caps) {
     this.revision = revision;
     this.paths = paths;
     this.services = services;
+    this.tenants = tenants;
     this.caps = caps;
     paths.forEach(
         path -> pathsByHost.computeIfAbsent(path.host(), h -> new ArrayList<>()).add(path));
     pathsByHost
         .values()
         .forEach(list -> list.sort(Comparator.comparingInt((Path p) -> -p.prefix().length())));
-    keys.forEach(entry -> tenantsByKey.put(entry.getKey(), entry.getValue()));
   }
 
   public long revision() {
@@ -151,13 +156,13 @@
     return services.values();
   }
 
-  /** Whether requests are told apart by tenants. */
-  public boolean hasTenants() {
-    return !tenantsByKey.isEmpty();
+  /** Whether the configuration contains {@code Customers}, though none of them may have a key. */
+  public boolean keysRequired() {
+    return tenants.listed();
   }
 
   public Optional<Tenant> tenant(String key) {
-    return Optional.ofNullable(tenantsByKey.get(key));
+    return Optional.ofNullable(tenants.byKey().get(key));
   }
 
   public static String plainHost(String host) {
@@ -218,16 +223,18 @@
     private final Set<String> places = new HashSet<>();
     private final Map<String, Tenant> keys = new HashMap<>();
     private final Set<String> tenants = new HashSet<>();
+    private boolean tenantsListed;
     private long revision;
     private Caps caps = NONE.caps;
 
     Builder(JsonObject root) {
       this.root = root;
+      tenantsListed = root.has("Customers");
     }
 
     /** Begins with the items of another configuration that the patch leaves as they are. */
     Builder(JsonObject patch, Configuration base) throws Invalid {
-      this(ConfigurationPatch.itemsOf(patch));
+      root = ConfigurationPatch.itemsOf(patch);
       var changed = ConfigurationPatch.changedNames(patch);
       base.services.values().stream()
           .filter(each -> !changed.get(ConfigurationPatch.SERVICES).contains(each.name()))
@@ -235,16 +242,22 @@
       base.paths.stream()
           .filter(each -> !changed.get(ConfigurationPatch.ROUTES).contains(each.name()))
           .forEach(this::keep);
-      base.tenantsByKey.forEach(
-          (key, tenant) -> {
-            if (!changed.get(ConfigurationPatch.TENANTS).contains(tenant.name())) {
-              keys.put(key, tenant);
-              tenants.add(tenant.name());
-            }
-          });
+      keepTenants(base.tenants, changed.get(ConfigurationPatch.TENANTS));
       caps = base.caps;
     }
 
+    private void keepTenants(Tenants base, Set<String> changed) {
+      base.byKey()
+          .forEach(
+              (key, tenant) -> {
+                if (!changed.contains(tenant.name())) {
+                  keys.put(key, tenant);
+                }
+              });
+      base.names().stream().filter(name -> !changed.contains(name)).forEach(tenants::add);
+      tenantsListed = base.listed();
+    }
+
     private void keep(Path path) {
       places.add(path.host() + " " + path.prefix());
       paths.add(path);
@@ -255,7 +268,8 @@
       if (!faults.isEmpty()) {
         throw faults.get(0);
       }
-      return new Configuration(revision, paths, services, List.copyOf(keys.entrySet()), caps);
+      var listed = new Tenants(tenantsListed, Set.copyOf(tenants), Map.copyOf(keys));
+      return new Configuration(revision, paths, services, listed, caps);
     }
 
     private void gather() {
@@ -395,6 +409,7 @@
               text(each, at, "Name"),
               fraction(each, at, "RatePerS", 0),
               fraction(each, at, "Burst", 0));
+      tenantsListed = true;
       if (!tenants.add(tenant.name())) {
         throw new Invalid(at, "two tenants are named " + tenant.name());
       }
--- a/src/main/java/wellwheel/edge/EdgeNode.java
+++ b/src/main/java/wellwheel/edge/EdgeNode.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import wellwheel.admission.RequestAdmission;
 import wellwheel.cluster.ClusterLease;
 import wellwheel.cluster.ClusterView;
 import wellwheel.cluster.PartitionHash;
@@ -32,7 +33,6 @@
 /** State machine of an edge node: admission, hand-ins, look-ups, pulls and ends of jobs. */
 public final class EdgeNode implements Network.MessageHandler, GracefulShutdown.Node {
   private static final System.Logger LOG = System.getLogger("edge");
-  private static final long CLAIM_MARGIN_US = 1_000_000;
   private static final long ASK_AGAIN_US = 250_000;
   private static final long RETRY_US = 25_000;
   private static final long LOOK_US = 1_700_000;
@@ -114,6 +114,7 @@
   private final Clock clock;
   private final Network wire;
   private final ClusterLease clusterLease;
+  private final RequestAdmission admission;
   private final String id;
   private final RateLimiter limiter;
   private final HitRelays relays;
@@ -156,6 +157,8 @@
                     .with("zone", options.zone())
                     .with("leaving", leaving),
             this::onNews);
+    admission =
+        new RequestAdmission(clusterLease, RequestAdmission.KeyRule.ALWAYS, options.revokeUs());
     limiter = new RateLimiter(id, options.windowUs(), clusterLease::coreUs);
     history =
         new QueueHistory(
@@ -180,16 +183,12 @@
 
   public synchronized boolean ready() {
     return !leaving
-        && fresh()
+        && admission.isSure()
         && clusterLease.configuration().revision() > 0
         && caughtUp()
         && clusterLease.view().partitions().stream().anyMatch(ClusterView.Partition::whole);
   }
 
-  private boolean fresh() {
-    return clusterLease.knowsCore() && clusterLease.ageUs() < options.revokeUs() - CLAIM_MARGIN_US;
-  }
-
   private List<ClusterView.Member> peers() {
     if (clusterLease.view().memberVersion() != peersVersion) {
       peersVersion = clusterLease.view().memberVersion();
@@ -330,21 +329,17 @@
   }
 
   private void handIn(Exchange exchange) {
-    if (!fresh()) {
-      exchange.answer(Answer.later(ResultCode.NO_CLAIM, 1));
-      return;
-    }
-    var host = exchange.header("Host").orElse("");
-    var path = clusterLease.configuration().path(host, exchange.target());
-    if (path.isEmpty()) {
-      exchange.answer(Answer.of(ResultCode.NO_PATH));
-      return;
-    }
-    var tenant = tenant(exchange);
-    if (tenant.isEmpty() && !path.get().open()) {
-      exchange.answer(Answer.of(ResultCode.NO_KEY));
+    var verdict = admission.admit(exchange);
+    if (verdict instanceof RequestAdmission.Admitted admitted) {
+      handIn(exchange, admitted.path(), admitted.tenant());
       return;
     }
+    var code = ((RequestAdmission.Refused) verdict).code();
+    exchange.answer(code == ResultCode.NO_CLAIM ? Answer.later(code, 1) : Answer.of(code));
+  }
+
+  private void handIn(
+      Exchange exchange, Configuration.Path path, Optional<Configuration.Tenant> tenant) {
     var name = exchange.header("Attempt-Id").orElse("");
     if (!RequestFields.isName(name)) {
       exchange.answer(Answer.of(ResultCode.NO_ID));
@@ -365,9 +360,9 @@
     }
     var steps = exchange.header("Runs-After");
     if (steps.isPresent()) {
-      checkSteps(exchange, steps.get(), path.get(), tenant, name, delayMs * 1000);
+      checkSteps(exchange, steps.get(), path, tenant, name, delayMs * 1000);
     } else {
-      admit(exchange, path.get(), tenant, name, delayMs * 1000, List.of());
+      admit(exchange, path, tenant, name, delayMs * 1000, List.of());
     }
   }
 
@@ -691,21 +686,16 @@
     }
   }
 
-  private Optional<Configuration.Tenant> tenant(Exchange exchange) {
-    return RequestFields.bearerKey(exchange.header("Authorization").orElse(""))
-        .flatMap(clusterLease.configuration()::tenant);
-  }
-
   private static long number(Exchange exchange, String header, long otherwise) {
     return RequestFields.number(exchange.header(header), otherwise);
   }
 
   private void look(Exchange exchange, String name, boolean body) {
-    if (!fresh()) {
+    if (!admission.isSure()) {
       exchange.answer(Answer.later(ResultCode.NO_CLAIM, 1));
       return;
     }
-    var tenant = tenant(exchange);
+    var tenant = admission.tenantOf(exchange);
     var host = Configuration.plainHost(exchange.header("Host").orElse(""));
     if (tenant.isEmpty()) {
       exchange.answer(Answer.of(ResultCode.NO_KEY));
--- a/src/main/java/wellwheel/functions/FrontNode.java
+++ b/src/main/java/wellwheel/functions/FrontNode.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import wellwheel.admission.RequestAdmission;
 import wellwheel.cluster.ClusterLease;
 import wellwheel.config.Configuration;
 import wellwheel.config.NodeOptions;
@@ -37,11 +38,9 @@
   private static final long MOVED_AGAIN_US = 5_000;
   private static final long END_SLACK_US = 60_000;
   private static final int HOSTS_MOST = 4096;
+  private static final int SERVICE_UNAVAILABLE = 503;
   private static final String RETRY_AFTER_S = "0.2";
 
-  /** Decides at the edge which functions may be called by whom: the tenant, or a refusal. */
-  private record Admission(Optional<Configuration.Tenant> tenant, Optional<ResultCode> refusal) {}
-
   private static final class Passed {
     final Exchange exchange;
     final FunctionCall call;
@@ -63,6 +62,7 @@
   private final Network network;
   private final InstanceClient client;
   private final ClusterLease clusterLease;
+  private final RequestAdmission admission;
   private final RetryBudget retries;
   private final WakeUpTimer wakeUps;
   private final WakeUpTimer reports;
@@ -104,6 +104,9 @@
                     .with("zone", options.zone())
                     .with("leaving", leaving),
             () -> {});
+    admission =
+        new RequestAdmission(
+            clusterLease, RequestAdmission.KeyRule.WHERE_CONFIGURED, options.revokeUs());
     wakeUps = new WakeUpTimer(clock, this::tick);
     reports = new WakeUpTimer(clock, this::report);
   }
@@ -133,40 +136,24 @@
 
   /** Takes a client's request. */
   public synchronized void onExchange(Exchange exchange) {
-    var configuration = clusterLease.configuration();
-    if (configuration.revision() == 0) {
-      refuse(exchange, ResultCode.NO_CLAIM);
-      return;
-    }
-    var path = configuration.path(exchange.header("Host").orElse(""), exchange.target());
-    if (path.isEmpty()) {
-      exchange.answer(Exchange.Answer.of(ResultCode.NO_PATH));
-      return;
-    }
-    var admission = admit(exchange, path.get(), configuration);
-    if (admission.refusal().isPresent()) {
-      exchange.answer(Exchange.Answer.of(admission.refusal().get()));
+    var verdict = admission.admit(exchange);
+    if (verdict instanceof RequestAdmission.Refused refused) {
+      refuse(exchange, refused.code());
+    } else if (exchange.header("Attempt-Id").filter(text -> !text.isBlank()).isEmpty()) {
+      refuse(exchange, ResultCode.NO_ID);
     } else if (passed.size() >= OPEN_MOST) {
       refuse(exchange, ResultCode.NO_INSTANCE);
     } else {
-      pass(exchange, path.get(), admission.tenant());
-    }
-  }
-
-  private static Admission admit(
-      Exchange exchange, Configuration.Path path, Configuration configuration) {
-    if (exchange.header("Attempt-Id").filter(text -> !text.isBlank()).isEmpty()) {
-      return new Admission(Optional.empty(), Optional.of(ResultCode.NO_ID));
+      var admitted = (RequestAdmission.Admitted) verdict;
+      pass(exchange, admitted.path(), admitted.tenant());
     }
-    var tenant =
-        RequestFields.bearerKey(exchange.header("Authorization").orElse(""))
-            .flatMap(configuration::tenant);
-    var known = tenant.isPresent() || path.open() || !configuration.hasTenants();
-    return new Admission(tenant, known ? Optional.empty() : Optional.of(ResultCode.NO_KEY));
   }
 
-  private void refuse(Exchange exchange, ResultCode code) {
-    exchange.answer(Exchange.Answer.of(code, "Retry-After", RETRY_AFTER_S));
+  private static void refuse(Exchange exchange, ResultCode code) {
+    exchange.answer(
+        code.status() == SERVICE_UNAVAILABLE
+            ? Exchange.Answer.of(code, "Retry-After", RETRY_AFTER_S)
+            : Exchange.Answer.of(code));
   }
 
   private void pass(
--- a/src/test/java/wellwheel/architecture/DependenciesTest.java
+++ b/src/test/java/wellwheel/architecture/DependenciesTest.java
@@ -41,9 +41,12 @@
                   "runtime",
                   "storage",
                   "transport")),
-          Map.entry("functions", Set.of("cluster", "config", "runtime", "transport")),
+          Map.entry("admission", Set.of("cluster", "config", "runtime", "transport")),
+          Map.entry("functions", Set.of("admission", "cluster", "config", "runtime", "transport")),
           Map.entry(
-              "edge", Set.of("cluster", "config", "history", "receipts", "runtime", "transport")),
+              "edge",
+              Set.of(
+                  "admission", "cluster", "config", "history", "receipts", "runtime", "transport")),
           Map.entry(
               "queue",
               Set.of(
--- a/src/test/java/wellwheel/config/ConfigurationPatchTest.java
+++ b/src/test/java/wellwheel/config/ConfigurationPatchTest.java
@@ -86,4 +86,32 @@
     var whole = Configuration.read(bytes(WHOLE));
     assertThrows(Configuration.Invalid.class, () -> whole.patched(bytes(patch)));
   }
+
+  private static final String TENANT =
+      "{\"Name\":\"t\",\"ApiKeys\":[%s],\"RatePerS\":9,\"Burst\":9}";
+
+  private static void expectKeysRequired(String whole, String patch, boolean wanted)
+      throws Exception {
+    var read = Configuration.read(bytes(whole)).patched(bytes(patch));
+    var text = Configuration.read(ConfigurationPatch.apply(bytes(whole), bytes(patch)));
+    assertThat(read.keysRequired()).isEqualTo(wanted);
+    assertThat(text.keysRequired()).isEqualTo(wanted);
+  }
+
+  /** Guards against a configuration without tenants in place of one whose tenants lost all keys. */
+  @Test
+  void tenantsStayThoughAPatchTakesTheirLastKeyOrTheLastOfThem() throws Exception {
+    var nothing = "{\"Revision\":9}";
+    var keyless =
+        "{\"Revision\":9,\"PutItems\":{\"Customers\":[" + String.format(TENANT, "") + "]}}";
+    var removed = "{\"Revision\":9,\"RemoveNames\":{\"Customers\":[\"t\"]}}";
+    var withTenant =
+        WHOLE.replaceFirst("}$", ",\"Customers\":[" + String.format(TENANT, "\"k\"") + "]}");
+    expectKeysRequired(WHOLE, nothing, false);
+    expectKeysRequired(WHOLE, "{\"Revision\":9,\"PutItems\":{\"Customers\":[]}}", false);
+    expectKeysRequired(WHOLE, keyless, true);
+    expectKeysRequired(withTenant, nothing, true);
+    expectKeysRequired(withTenant, keyless, true);
+    expectKeysRequired(withTenant, removed, true);
+  }
 }
--- a/src/test/java/wellwheel/functions/FunctionsWorld.java
+++ b/src/test/java/wellwheel/functions/FunctionsWorld.java
@@ -3,11 +3,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import wellwheel.cluster.ClusterView;
 import wellwheel.config.Configuration;
 import wellwheel.config.NodeOptions;
@@ -50,11 +52,17 @@
     final String target;
     final boolean safe;
     final long sentUs;
+    final String key;
     int status;
     String seal = "";
     int answers;
 
     Call(String id, String target, boolean safe, long sentUs) {
+      this(id, target, safe, sentUs, "");
+    }
+
+    Call(String id, String target, boolean safe, long sentUs, String key) {
+      this.key = key;
       this.id = id;
       this.target = target;
       this.safe = safe;
@@ -74,7 +82,16 @@
     @Override
     public Optional<String> header(String name) {
       return Optional.ofNullable(
-          Map.of("Host", "h", "Attempt-Id", id, "Time-Left-Ms", "4000").get(name));
+          Map.of(
+                  "Host",
+                  "h",
+                  "Attempt-Id",
+                  id,
+                  "Time-Left-Ms",
+                  "4000",
+                  "Authorization",
+                  "Bearer " + key)
+              .get(name));
     }
 
     @Override
@@ -212,8 +229,9 @@
   private final Map<String, Front> fronts = new LinkedHashMap<>();
   private final Map<String, Control> controls = new LinkedHashMap<>();
   private final Map<String, String> ids = new HashMap<>();
-  private final Configuration configuration;
-  private final byte[] json;
+  private final Set<String> cutOff = new HashSet<>();
+  private Configuration configuration;
+  private byte[] json;
   private String leader = "10.1.0.1";
   private long term = 1;
   private long memberVersion;
@@ -222,8 +240,7 @@
   FunctionsWorld(long seed, int frontCount) throws Exception {
     random = new Random(seed);
     platform = new SimulatedPlatform(time, random, SLOTS);
-    json = configurationJson().getBytes(StandardCharsets.UTF_8);
-    configuration = Configuration.read(json);
+    configure(configurationJson());
     for (var number = 1; number <= 2; number++) {
       controls.put("10.1.0." + number, new Control("10.1.0." + number));
     }
@@ -232,7 +249,24 @@
     }
   }
 
-  private static String configurationJson() {
+  /** The control nodes take a configuration; nodes hear of it with their next renewal. */
+  void configure(String text) throws Exception {
+    json = text.getBytes(StandardCharsets.UTF_8);
+    configuration = Configuration.read(json);
+  }
+
+  /** Nothing passes between a front and the control nodes for some time. */
+  void cutOff(String ip, long spanUs) {
+    cutOff.add(ip);
+    time.after(spanUs, () -> cutOff.remove(ip));
+  }
+
+  private boolean isCut(String from, String to) {
+    return controls.containsKey(to) && cutOff.contains(from)
+        || controls.containsKey(from) && cutOff.contains(to);
+  }
+
+  static String configurationJson() {
     var routes = new ArrayList<String>();
     var services = new ArrayList<String>();
     for (var number = 0; number < SERVICES; number++) {
@@ -293,6 +327,9 @@
         () -> {
           var control = controls.get(to);
           var front = fronts.get(to);
+          if (isCut(from, to)) {
+            return;
+          }
           if (control != null) {
             control.hear(from, Frame.unpack(bytes));
           } else if (front != null && front.up) {
@@ -374,6 +411,14 @@
         (long) (-Math.log(1 - random.nextDouble()) / perS * 1e6), () -> nextCall(perS, untilUs));
   }
 
+  /** Sends one call on an open connection, whether the front wants new clients or not. */
+  Call callAt(String ip, String key) {
+    var call = new Call("c-" + calls.size(), "/safe0/x", true, time.nowUs, key);
+    calls.add(call);
+    fronts.get(ip).node.onExchange(call);
+    return call;
+  }
+
   /** Calls of fronts that were killed get no answer; the others do. */
   long unanswered() {
     return calls.stream().filter(call -> call.answers == 0).count();
