--- a/src/main/java/wellwheel/admission/RequestAdmission.java
+++ b/src/main/java/wellwheel/admission/RequestAdmission.java
@@ -7,7 +7,12 @@
 import wellwheel.transport.Exchange;
 import wellwheel.transport.RequestFields;
 
-/** Decides for edge nodes and fronts which route a request takes and whether its key opens it. */
+/**
+ * Decides for edge nodes and fronts which route a request takes and whether its key opens it. A key
+ * counts only while this node is sure that no acknowledged configuration has taken it away: while
+ * its last contact with a majority of the control nodes is more recent than {@code RevokeWithinMs},
+ * less a margin for the request's way here.
+ */
 public final class RequestAdmission {
   private static final long MARGIN_MOST_US = 1_000_000;
   private static final double MARGIN_SHARE = 0.2;
@@ -63,7 +68,7 @@
   public Verdict admit(Exchange exchange) {
     var configuration = lease.configuration();
     var keysCount = rule == KeyRule.ALWAYS || configuration.keysRequired();
-    if (configuration.revision() == 0 || rule == KeyRule.ALWAYS && !isSure()) {
+    if (configuration.revision() == 0 || keysCount && !isSure()) {
       return new Refused(ResultCode.NO_CLAIM);
     }
     var path = configuration.path(exchange.header("Host").orElse(""), exchange.target());
--- a/src/test/java/wellwheel/admission/RequestAdmissionTest.java
+++ b/src/test/java/wellwheel/admission/RequestAdmissionTest.java
@@ -144,6 +144,16 @@
     assertThat(call("/closed/x", "other")).isEqualTo(ResultCode.NO_KEY.name());
   }
 
+  @Test
+  void keysCountOnlyWhileTheNodeIsInTouch() {
+    hear(BARE + tenants("k"));
+    clock.nowUs += REVOKE_US - 1_100_000;
+    assertThat(call("/closed/x", "k")).isEqualTo("in t");
+    clock.nowUs += 100_000;
+    assertThat(call("/closed/x", "k")).isEqualTo(ResultCode.NO_CLAIM.name());
+    assertThat(handIn("/closed/x", "k")).isEqualTo(ResultCode.NO_CLAIM.name());
+  }
+
   @Test
   void callsOfADeploymentWithoutTenantsGoOnWhileItsNodeIsOutOfTouch() {
     hear(BARE + "}");
