--- a/src/main/java/wellwheel/transport/PooledHttpClient.java
+++ b/src/main/java/wellwheel/transport/PooledHttpClient.java
@@ -132,9 +132,15 @@
       }
     }
 
+    /** An answer without a length ends with its connection, if the peer has closed it in order. */
     @Override
-    protected void decodeLast(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) {
-      buffer.skipBytes(buffer.readableBytes());
+    protected void decodeLast(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
+        throws Exception {
+      if (connection.awaits() && !connection.closedHere) {
+        super.decodeLast(context, buffer, out);
+      } else {
+        buffer.skipBytes(buffer.readableBytes());
+      }
     }
 
     @Override
@@ -157,6 +163,10 @@
     boolean used;
     boolean written;
     boolean persistent = true;
+
+    /** Whether this side has closed it; what has come by then is no whole answer. */
+    boolean closedHere;
+
     long idleUntilUs;
 
     Connection(Pool pool) {
@@ -249,6 +259,11 @@
     void drop() {
       pool.connections.remove(this);
       pool.idle.remove(this);
+      close();
+    }
+
+    private void close() {
+      closedHere = true;
       channel.close();
     }
 
@@ -291,7 +306,7 @@
     private void wrote(io.netty.util.concurrent.Future<? super Void> write) {
       written = write.isSuccess();
       if (!written) {
-        channel.close();
+        close();
       }
     }
 
