--- a/src/main/java/wellwheel/transport/Links.java
+++ b/src/main/java/wellwheel/transport/Links.java
@@ -333,8 +333,8 @@
     link.queuedBytes = 0;
     if (!future.isSuccess()) {
       link.restUntilUs = clock.steadyUs() + REST_US;
-      LoopClock.guarded(() -> handler.onDown(link.ip));
       queued.forEach(each -> LoopClock.guarded(() -> handler.onUnsent(link.ip, each.frame())));
+      LoopClock.guarded(() -> handler.onDown(link.ip));
       return;
     }
     link.channel = future.channel();
--- a/src/test/java/wellwheel/transport/LinksTest.java
+++ b/src/test/java/wellwheel/transport/LinksTest.java
@@ -10,6 +10,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -80,6 +81,9 @@
     }
   }
 
+  /** What the handler was told of frames and peers that are lost, in its order. */
+  private final LinkedBlockingQueue<String> told = new LinkedBlockingQueue<>();
+
   @BeforeEach
   void open() throws Exception {
     try (var socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
@@ -95,11 +99,13 @@
 
           @Override
           public void onDown(String peerIp) {
+            told.add("down");
             down.add(peerIp);
           }
 
           @Override
           public void onUnsent(String peerIp, Frame frame) {
+            told.add("unsent " + frame.kind());
             unsent.add(frame.kind());
           }
         });
@@ -238,4 +244,19 @@
     assertThat(unsent.poll(10, TimeUnit.SECONDS)).isEqualTo("later");
     assertThat(unsent).isEmpty();
   }
+
+  /** Guards against frames that count as lost, and are sent again, though none ever left. */
+  @Test
+  void whatCouldNotBeSentIsToldBeforeItsPeerIsCalledDown() throws Exception {
+    GROUP
+        .next()
+        .submit(
+            () -> {
+              links.send(THERE, Frame.of("a"));
+              links.send(THERE, Frame.of("b"));
+            });
+    for (var each : List.of("unsent a", "unsent b", "down")) {
+      assertThat(told.poll(10, TimeUnit.SECONDS)).isEqualTo(each);
+    }
+  }
 }
