--- a/src/main/java/wellwheel/functions/FrontNode.java
+++ b/src/main/java/wellwheel/functions/FrontNode.java
@@ -47,6 +47,9 @@
     final long untilUs;
     String ownerIp = "";
 
+    /** How many more instances it may be sent to. */
+    int triesLeft;
+
     /** Whether an owner had it and was lost, so that 503 cannot be promised any more. */
     boolean mayHaveRun;
 
@@ -54,6 +57,7 @@
       this.exchange = exchange;
       this.call = call;
       this.untilUs = untilUs;
+      triesLeft = call.triesLeft();
     }
   }
 
@@ -173,6 +177,7 @@
             path.rank(),
             path.kind() == Configuration.Kind.SAFE,
             path.tries(),
+            false,
             leftUs,
             clusterLease.configuration().revision());
     var number = ++lastNumber;
@@ -199,8 +204,7 @@
 
   private void passOn(long number, Passed each) {
     if (refusing) {
-      each.ownerIp = "";
-      over(number, new CallOutcome.Ended(ResultCode.NO_INSTANCE));
+      end(number, new CallOutcome.Ended(ResultCode.NO_INSTANCE));
       return;
     }
     var nowUs = clock.steadyUs();
@@ -212,10 +216,10 @@
     } else if (each.ownerIp.equals(options.ip())) {
       own(
           new FunctionPool.CallKey(options.ip(), number),
-          each.call.withLeft(leftUs),
-          outcome -> over(number, outcome));
+          each.call.withLeft(each.triesLeft, leftUs),
+          outcome -> over(options.ip(), number, outcome));
     } else {
-      network.send(each.ownerIp, each.call.withLeft(leftUs).toFrame(number));
+      network.send(each.ownerIp, each.call.withLeft(each.triesLeft, leftUs).toFrame(number));
     }
   }
 
@@ -247,8 +251,13 @@
       done.accept(withoutFunction(call));
       return;
     }
-    retries.called(clock.steadyUs());
     var pool = poolOf(call.service());
+    if (pool.isOpen(key)) {
+      return;
+    }
+    if (!call.repeated()) {
+      retries.called(clock.steadyUs());
+    }
     pool.bounds(function.get().slots(), service.get().maxConns());
     owned++;
     pool.submit(
@@ -304,12 +313,27 @@
     }
   }
 
-  private synchronized void over(long number, CallOutcome outcome) {
+  /**
+   * Takes the outcome of a call. Only its present owner decides what becomes of it; an answer
+   * counts whoever sends it.
+   */
+  private synchronized void over(String ownerIp, long number, CallOutcome outcome) {
+    var each = passed.get(number);
+    var answered = outcome instanceof CallOutcome.Answered;
+    if (each == null || !answered && !each.ownerIp.equals(ownerIp)) {
+      return;
+    }
     if (outcome instanceof CallOutcome.Moved) {
-      Optional.ofNullable(passed.get(number)).ifPresent(each -> each.ownerIp = "");
+      each.ownerIp = "";
       clock.after(MOVED_AGAIN_US, () -> passAgain(number));
-      return;
+    } else if (outcome instanceof CallOutcome.Tried tried) {
+      again(number, each, tried);
+    } else {
+      end(number, outcome);
     }
+  }
+
+  private void end(long number, CallOutcome outcome) {
     Optional.ofNullable(passed.remove(number)).ifPresent(each -> answer(each, outcome));
   }
 
@@ -356,7 +380,7 @@
             outcome -> network.send(from, outcome.toFrame(number)));
       }
       case CallWithdrawal.KIND -> withdraw(from, CallWithdrawal.read(frame));
-      case CallOutcome.KIND -> over(frame.number("rid"), CallOutcome.read(frame));
+      case CallOutcome.KIND -> over(from, frame.number("rid"), CallOutcome.read(frame));
       case OwnerTable.KIND -> take(OwnerTable.read(frame));
       case Scaler.ASSIGNED -> frame.frames("rows").forEach(this::assign);
       default -> {}
@@ -403,12 +427,20 @@
     }
   }
 
+  /**
+   * An owner that cannot be reached may have sent the call to an instance: that counts as a try.
+   */
   private void lost(long number, Passed each) {
-    each.mayHaveRun = true;
-    if (each.call.repeatable()) {
+    again(number, each, new CallOutcome.Tried(true));
+  }
+
+  private void again(long number, Passed each, CallOutcome.Tried tried) {
+    each.mayHaveRun |= tried.mayHaveRun();
+    each.triesLeft--;
+    if (each.triesLeft > 0 && (each.call.repeatable() || !each.mayHaveRun)) {
       passOn(number, each);
     } else {
-      over(number, new CallOutcome.Ended(ResultCode.RUN_UNKNOWN));
+      end(number, tried.last());
     }
   }
 
@@ -417,6 +449,7 @@
     downUs.put(ip, clock.steadyUs());
     if (frame.kind().equals(FunctionCall.KIND)) {
       Optional.ofNullable(passed.get(frame.number("rid")))
+          .filter(each -> each.ownerIp.equals(ip))
           .ifPresent(each -> passOn(frame.number("rid"), each));
     }
   }
@@ -461,7 +494,7 @@
   @Override
   public synchronized void answerRest() {
     List.copyOf(passed.keySet())
-        .forEach(number -> over(number, new CallOutcome.Ended(ResultCode.RUN_UNKNOWN)));
+        .forEach(number -> end(number, new CallOutcome.Ended(ResultCode.RUN_UNKNOWN)));
   }
 
   @Override
--- a/src/main/java/wellwheel/functions/FunctionCall.java
+++ b/src/main/java/wellwheel/functions/FunctionCall.java
@@ -11,7 +11,8 @@
  * @param fields header fields that go along, name and value by turns
  * @param rank 0 is the most urgent
  * @param repeatable whether it may run more than once
- * @param tries the most instances to which it may be sent
+ * @param triesLeft the most instances to which it may still be sent; an owner sends it to one
+ * @param repeated whether an instance was sent it before
  * @param leftUs how much of its time is left
  * @param revision revision of the configuration that allowed it
  */
@@ -24,12 +25,13 @@
     byte[] body,
     int rank,
     boolean repeatable,
-    int tries,
+    int triesLeft,
+    boolean repeated,
     long leftUs,
     long revision) {
   static final String KIND = "call";
 
-  FunctionCall withLeft(long newLeftUs) {
+  FunctionCall withLeft(int newTriesLeft, long newLeftUs) {
     return new FunctionCall(
         service,
         attemptId,
@@ -39,7 +41,8 @@
         body,
         rank,
         repeatable,
-        tries,
+        newTriesLeft,
+        repeated || newTriesLeft < triesLeft,
         newLeftUs,
         revision);
   }
@@ -55,7 +58,8 @@
         .with("b", body)
         .with("r", rank)
         .with("y", repeatable)
-        .with("n", tries)
+        .with("n", triesLeft)
+        .with("ag", repeated)
         .with("u", leftUs)
         .with("cr", revision);
   }
@@ -71,6 +75,7 @@
         frame.small("r"),
         frame.flag("y"),
         frame.small("n"),
+        frame.flag("ag"),
         frame.number("u"),
         frame.number("cr"));
   }
--- a/src/main/java/wellwheel/functions/FunctionPool.java
+++ b/src/main/java/wellwheel/functions/FunctionPool.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import wellwheel.runtime.Clock;
@@ -54,8 +56,6 @@
     final FunctionCall call;
     final long untilUs;
     final Consumer<CallOutcome> done;
-    int offers;
-    boolean mayHaveRun;
 
     Waiting(CallKey key, FunctionCall call, long untilUs, Consumer<CallOutcome> done) {
       this.key = key;
@@ -71,6 +71,10 @@
   private final Host host;
   private final Map<String, Instance> instances = new LinkedHashMap<>();
   private final TreeMap<Integer, ArrayDeque<Waiting>> waitingByRank = new TreeMap<>();
+
+  /** Calls that wait or run here. */
+  private final Set<CallKey> open = new HashSet<>();
+
   private int waiting;
   private int running;
   private long arrivals;
@@ -102,7 +106,18 @@
     return waiting > 0 || running > 0;
   }
 
-  void submit(CallKey key, FunctionCall call, Consumer<CallOutcome> done) {
+  /** Whether the call waits or runs here. */
+  boolean isOpen(CallKey key) {
+    return open.contains(key);
+  }
+
+  void submit(CallKey key, FunctionCall call, Consumer<CallOutcome> whenDone) {
+    open.add(key);
+    Consumer<CallOutcome> done =
+        outcome -> {
+          open.remove(key);
+          whenDone.accept(outcome);
+        };
     arrivals++;
     if (waiting >= WAITING_MOST) {
       done.accept(new CallOutcome.Ended(ResultCode.NO_INSTANCE));
@@ -205,18 +220,13 @@
     for (var queue : waitingByRank.values()) {
       for (var each = queue.pollFirst(); each != null; each = queue.pollFirst()) {
         waiting--;
-        if (each.mayHaveRun) {
-          giveUp(each);
-        } else {
-          each.done.accept(new CallOutcome.Moved());
-        }
+        each.done.accept(new CallOutcome.Moved());
       }
     }
   }
 
   private static void giveUp(Waiting each) {
-    each.done.accept(
-        new CallOutcome.Ended(each.mayHaveRun ? ResultCode.RUN_UNKNOWN : ResultCode.NO_INSTANCE));
+    each.done.accept(new CallOutcome.Ended(ResultCode.NO_INSTANCE));
   }
 
   private void wakeForResting(long nowUs) {
@@ -243,7 +253,7 @@
     client.send(
         instance.address,
         instance.id,
-        each.call.withLeft(each.untilUs - nowUs),
+        each.call.withLeft(each.call.triesLeft(), each.untilUs - nowUs),
         connections,
         answer -> ended(each, instance, nowUs, answer));
   }
@@ -279,13 +289,12 @@
   private void unknown(Waiting each, Instance instance) {
     instance.proven = false;
     instance.restUntilUs = clock.steadyUs() + DOUBT_REST_US;
-    each.mayHaveRun = true;
     if (clock.steadyUs() >= each.untilUs) {
       each.done.accept(new CallOutcome.Ended(ResultCode.OUT_OF_TIME));
     } else if (each.call.repeatable()) {
-      again(each);
+      again(each, new CallOutcome.Tried(true));
     } else {
-      giveUp(each);
+      each.done.accept(new CallOutcome.Ended(ResultCode.RUN_UNKNOWN));
     }
   }
 
@@ -293,13 +302,13 @@
     if (answer.status() == MISDIRECTED) {
       instance.released = true;
       host.report();
-      again(each);
+      again(each, new CallOutcome.Tried(false));
       return;
     }
     instance.proven = true;
     if (!answer.header(NOT_RUN).isEmpty()) {
       instance.restUntilUs = clock.steadyUs() + FULL_REST_US;
-      again(each);
+      again(each, new CallOutcome.Tried(false));
       return;
     }
     each.done.accept(
@@ -308,13 +317,10 @@
                 answer.status(), HeaderFields.ofAnswer(answer.fields()), answer.body())));
   }
 
-  private void again(Waiting each) {
-    each.offers++;
-    if (each.offers < each.call.tries() && host.retry()) {
-      enqueue(each, true);
-    } else {
-      giveUp(each);
-    }
+  /** Leaves a further try to the front, which knows how many the call has had at all owners. */
+  private void again(Waiting each, CallOutcome.Tried tried) {
+    var allowed = each.call.triesLeft() > 1 && host.retry();
+    each.done.accept(allowed ? tried : tried.last());
   }
 
   private void remove(Instance instance) {
--- a/src/test/java/wellwheel/functions/FunctionsModelTest.java
+++ b/src/test/java/wellwheel/functions/FunctionsModelTest.java
@@ -150,4 +150,35 @@
     assertThat(world.unanswered()).isEqualTo(0);
     assertThat(world.calls.stream().filter(call -> call.status == 503).count()).isAtLeast(20);
   }
+
+  /** Guards against calls that are at work at more instances than their route's Tries. */
+  @ParameterizedTest
+  @ValueSource(longs = {71, 72, 73, 74, 75, 76, 77, 78})
+  void noCallRunsOftenerThanItsTriesWhileLinksFail(long seed) throws Exception {
+    var tries = 1 + (int) (seed % 2);
+    var world = new FunctionsWorld(seed, 6);
+    world.configure(
+        FunctionsWorld.configurationJson().replace("\"Tries\":3", "\"Tries\":" + tries));
+    world.time.runFor(2 * SECOND);
+    world.call(120, 30 * SECOND);
+    for (var round = 0; round < 60; round++) {
+      var ips = world.frontIps();
+      var from = ips.get(world.random.nextInt(ips.size()));
+      var to = ips.get(world.random.nextInt(ips.size()));
+      var faults = FunctionsWorld.LinkFault.values();
+      if (!from.equals(to)) {
+        var fault = faults[world.random.nextInt(faults.length)];
+        world.failLink(from, to, fault, 500_000 + world.random.nextInt(3_000_000));
+      }
+      world.time.runFor(500_000);
+    }
+    settleAndCheck(world);
+    for (var call : world.calls) {
+      assertWithMessage("runs of " + call.id)
+          .that(world.platform.runs.getOrDefault(call.id, 0))
+          .isAtMost(tries);
+    }
+    assertThat(world.unanswered()).isEqualTo(0);
+    assertThat(served(world)).isGreaterThan(0.8);
+  }
 }
--- a/src/test/java/wellwheel/functions/FunctionsWorld.java
+++ b/src/test/java/wellwheel/functions/FunctionsWorld.java
@@ -25,6 +25,8 @@
   private static final int SERVICES = 12;
   private static final int SLOTS = 2;
   private static final long LINK_US = 900;
+  private static final long SILENCE_US = 750_000;
+  private static final long CONNECT_US = 400_000;
 
   private static final GracefulShutdown.Clients NO_CLIENTS =
       new GracefulShutdown.Clients() {
@@ -229,6 +231,7 @@
   private final Map<String, Front> fronts = new LinkedHashMap<>();
   private final Map<String, Control> controls = new LinkedHashMap<>();
   private final Map<String, String> ids = new HashMap<>();
+  private final Map<String, LinkFault> linkFaults = new HashMap<>();
   private final Set<String> cutOff = new HashSet<>();
   private Configuration configuration;
   private byte[] json;
@@ -321,6 +324,13 @@
   }
 
   private void send(String from, String to, Frame frame) {
+    var fault = linkFaults.get(from + ">" + to);
+    if (fault == LinkFault.UNREACHABLE) {
+      unsent(from, to, frame);
+    }
+    if (fault != null) {
+      return;
+    }
     var bytes = frame.pack();
     time.after(
         from.equals(to) ? 1 : LINK_US,
@@ -411,6 +421,42 @@
         (long) (-Math.log(1 - random.nextDouble()) / perS * 1e6), () -> nextCall(perS, untilUs));
   }
 
+  /** How a link between two fronts fails, one way. */
+  enum LinkFault {
+    /** No connection comes up: what was to be sent is told unsent when that is known. */
+    UNREACHABLE,
+
+    /** What is sent is lost; the silence breaks the connection, and no other comes up. */
+    SILENT
+  }
+
+  /** The link from one front to another fails for some time. */
+  void failLink(String from, String to, LinkFault fault, long spanUs) {
+    linkFaults.put(from + ">" + to, fault);
+    if (fault == LinkFault.SILENT) {
+      time.after(
+          SILENCE_US,
+          () -> {
+            linkFaults.replace(from + ">" + to, LinkFault.UNREACHABLE);
+            if (fronts.get(from).up) {
+              fronts.get(from).node.onDown(to);
+            }
+          });
+    }
+    time.after(spanUs, () -> linkFaults.remove(from + ">" + to));
+  }
+
+  private void unsent(String from, String to, Frame frame) {
+    time.after(
+        CONNECT_US,
+        () -> {
+          if (fronts.get(from).up) {
+            fronts.get(from).node.onUnsent(to, frame);
+            fronts.get(from).node.onDown(to);
+          }
+        });
+  }
+
   /** Sends one call on an open connection, whether the front wants new clients or not. */
   Call callAt(String ip, String key) {
     var call = new Call("c-" + calls.size(), "/safe0/x", true, time.nowUs, key);
