--- a/src/main/java/wellwheel/functions/FrontNode.java
+++ b/src/main/java/wellwheel/functions/FrontNode.java
@@ -41,26 +41,6 @@
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final String RETRY_AFTER_S = "0.2";
 
-  private static final class Passed {
-    final Exchange exchange;
-    final FunctionCall call;
-    final long untilUs;
-    String ownerIp = "";
-
-    /** How many more instances it may be sent to. */
-    int triesLeft;
-
-    /** Whether an owner had it and was lost, so that 503 cannot be promised any more. */
-    boolean mayHaveRun;
-
-    Passed(Exchange exchange, FunctionCall call, long untilUs) {
-      this.exchange = exchange;
-      this.call = call;
-      this.untilUs = untilUs;
-      triesLeft = call.triesLeft();
-    }
-  }
-
   private final NodeOptions options;
   private final Clock clock;
   private final Network network;
@@ -71,7 +51,7 @@
   private final WakeUpTimer wakeUps;
   private final WakeUpTimer reports;
   private final Map<String, FunctionPool> pools = new LinkedHashMap<>();
-  private final Map<Long, Passed> passed = new LinkedHashMap<>();
+  private final Map<Long, PassedCall> passed = new LinkedHashMap<>();
   private final Map<String, Long> downUs = new HashMap<>();
   private OwnerTable table = OwnerTable.NONE;
   private final String id;
@@ -181,7 +161,7 @@
             leftUs,
             clusterLease.configuration().revision());
     var number = ++lastNumber;
-    var each = new Passed(exchange, call, nowUs + leftUs);
+    var each = new PassedCall(exchange, call, nowUs + leftUs);
     passed.put(number, each);
     clock.after(leftUs + END_SLACK_US, () -> outOfTime(number));
     passOn(number, each);
@@ -202,7 +182,7 @@
                         each.ownerIp.isEmpty() ? ResultCode.NO_INSTANCE : ResultCode.OUT_OF_TIME)));
   }
 
-  private void passOn(long number, Passed each) {
+  private void passOn(long number, PassedCall each) {
     if (refusing) {
       end(number, new CallOutcome.Ended(ResultCode.NO_INSTANCE));
       return;
@@ -337,7 +317,7 @@
     Optional.ofNullable(passed.remove(number)).ifPresent(each -> answer(each, outcome));
   }
 
-  private void answer(Passed each, CallOutcome outcome) {
+  private void answer(PassedCall each, CallOutcome outcome) {
     if (outcome instanceof CallOutcome.Answered answered) {
       each.exchange.relay(answered.answer());
       return;
@@ -430,11 +410,11 @@
   /**
    * An owner that cannot be reached may have sent the call to an instance: that counts as a try.
    */
-  private void lost(long number, Passed each) {
+  private void lost(long number, PassedCall each) {
     again(number, each, new CallOutcome.Tried(true));
   }
 
-  private void again(long number, Passed each, CallOutcome.Tried tried) {
+  private void again(long number, PassedCall each, CallOutcome.Tried tried) {
     each.mayHaveRun |= tried.mayHaveRun();
     each.triesLeft--;
     if (each.triesLeft > 0 && (each.call.repeatable() || !each.mayHaveRun)) {
@@ -481,7 +461,7 @@
     List.copyOf(pools.values()).forEach(FunctionPool::handBack);
   }
 
-  private void recall(long number, Passed each) {
+  private void recall(long number, PassedCall each) {
     if (each.ownerIp.isEmpty()) {
       passOn(number, each);
     } else if (each.ownerIp.equals(options.ip())) {
--- a/src/main/java/wellwheel/transport/HttpServer.java
+++ b/src/main/java/wellwheel/transport/HttpServer.java
@@ -16,10 +16,8 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -112,7 +110,7 @@
                     .pipeline()
                     .addLast(
                         new ByteWatch(handler),
-                        new StrictDecoder(config),
+                        new StrictRequestDecoder(config),
                         new HttpResponseEncoder(),
                         handler);
               }
@@ -152,17 +150,6 @@
     return open.size();
   }
 
-  private static final class StrictDecoder extends HttpRequestDecoder {
-    StrictDecoder(HttpDecoderConfig config) {
-      super(config);
-    }
-
-    @Override
-    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-      throw new IllegalArgumentException("length with chunks");
-    }
-  }
-
   private static final class ByteWatch extends ChannelInboundHandlerAdapter {
     private final Handler handler;
 
@@ -223,7 +210,7 @@
                 : ResultCode.BAD_REQUEST);
         return;
       }
-      if (!sound(request)) {
+      if (!StrictRequestDecoder.isSound(request)) {
         breakOff(ResultCode.BAD_REQUEST);
         return;
       }
@@ -241,23 +228,6 @@
       }
     }
 
-    private boolean sound(HttpRequest request) {
-      var headers = request.headers();
-      var codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
-      var coded =
-          codings.isEmpty()
-              || codings.size() == 1
-                  && codings.get(0).trim().equalsIgnoreCase("chunked")
-                  && request.protocolVersion().equals(HttpVersion.HTTP_1_1);
-      var hosted = headers.getAll(HttpHeaderNames.HOST).size() == 1;
-      return coded
-          && hosted
-          && !request.method().equals(HttpMethod.CONNECT)
-          && headers.getAll(HttpHeaderNames.CONTENT_LENGTH).size() <= 1
-          && request.uri().startsWith("/")
-          && request.protocolVersion().majorVersion() == 1;
-    }
-
     private void takeBody(HttpContent content) {
       if (content.decoderResult().isFailure()) {
         breakOff(ResultCode.BAD_REQUEST);
