A call that waits does not begin once its client has closed (GONE, fronts)

Callers saw: requests that waited for an instance ran 700 ms after their clients had closed the connection.

Cause: a front never listened for the close, and could not take back what waits at an owner.

Fix: the front forgets the call and withdraws it at its owner if it waits there. A call that runs goes on: this is the waiting half of the rule.

--- a/src/main/java/wellwheel/functions/FrontNode.java
+++ b/src/main/java/wellwheel/functions/FrontNode.java
@@ -163,6 +163,7 @@
     var number = ++lastNumber;
     var each = new PassedCall(exchange, call, nowUs + leftUs);
     passed.put(number, each);
+    exchange.onClose(() -> clientGone(number));
     clock.after(leftUs + END_SLACK_US, () -> outOfTime(number));
     passOn(number, each);
   }
@@ -172,6 +173,13 @@
     return leftMs < 0 ? DEFAULT_TIME_LEFT_US : leftMs * 1000;
   }
 
+  /** Nobody waits for the answer any more: a call that still waits is not to run. */
+  private synchronized void clientGone(long number) {
+    Optional.ofNullable(passed.remove(number))
+        .filter(each -> !each.ownerIp.isEmpty())
+        .ifPresent(each -> withdraw(number, each));
+  }
+
   private synchronized void outOfTime(long number) {
     Optional.ofNullable(passed.remove(number))
         .ifPresent(
@@ -464,7 +472,13 @@
   private void recall(long number, PassedCall each) {
     if (each.ownerIp.isEmpty()) {
       passOn(number, each);
-    } else if (each.ownerIp.equals(options.ip())) {
+    } else {
+      withdraw(number, each);
+    }
+  }
+
+  private void withdraw(long number, PassedCall each) {
+    if (each.ownerIp.equals(options.ip())) {
       withdraw(options.ip(), new CallWithdrawal(number));
     } else {
       network.send(each.ownerIp, new CallWithdrawal(number).toFrame());
--- a/src/test/java/wellwheel/functions/FunctionsModelTest.java
+++ b/src/test/java/wellwheel/functions/FunctionsModelTest.java
@@ -181,4 +181,26 @@
     assertThat(world.unanswered()).isEqualTo(0);
     assertThat(served(world)).isGreaterThan(0.8);
   }
+
+  /** Guards against calls that run though their clients have closed while they waited. */
+  @ParameterizedTest
+  @ValueSource(longs = {91, 92, 93, 94})
+  void whatItsClientHasGivenUpDoesNotBegin(long seed) throws Exception {
+    var world = new FunctionsWorld(seed, 4);
+    world.time.runFor(2 * SECOND);
+    var ips = world.frontIps();
+    for (var number = 0; number < 40; number++) {
+      world.callAt(ips.get(number % ips.size()), "");
+    }
+    world.time.runFor(100_000);
+    for (var number = 0; number < 40; number += 2) {
+      world.calls.get(number).close();
+    }
+    world.time.runFor(10 * SECOND);
+    for (var call : world.calls) {
+      var runs = world.platform.runs.getOrDefault(call.id, 0);
+      assertWithMessage("runs of " + call.id).that(runs).isEqualTo(call.closed ? 0 : 1);
+      assertThat(call.answers).isEqualTo(call.closed ? 0 : 1);
+    }
+  }
 }
--- a/src/test/java/wellwheel/functions/FunctionsWorld.java
+++ b/src/test/java/wellwheel/functions/FunctionsWorld.java
@@ -58,6 +58,8 @@
     int status;
     String seal = "";
     int answers;
+    boolean closed;
+    private Runnable onClose = () -> {};
 
     Call(String id, String target, boolean safe, long sentUs) {
       this(id, target, safe, sentUs, "");
@@ -125,7 +127,15 @@
     }
 
     @Override
-    public void onClose(Runnable task) {}
+    public void onClose(Runnable task) {
+      onClose = task;
+    }
+
+    /** The client closes its connection. */
+    void close() {
+      closed = true;
+      onClose.run();
+    }
   }
 
   private final class Front {
