Customer carries names beyond ASCII as UTF-8; control characters are refused

Callers saw: two tenants whose names are not Latin were both passed on to processors as "Customer: ??".

Cause: header fields are written one byte a character, and what does not fit goes out as a question mark.

Evidence: textBeyondAsciiGoesOutAsUtf8 fails without the change.

Fix: deliveries, jobs and calls of functions write the name's bytes in UTF-8. A name with a control character, which no header can carry, is refused with its place as an invalid configuration.

--- a/src/main/java/wellwheel/config/Configuration.java
+++ b/src/main/java/wellwheel/config/Configuration.java
@@ -89,15 +89,6 @@
   /** A tenant and its limit. */
   public record Tenant(String name, double perS, double burst) {}
 
-  /**
-   * The tenants of a configuration, also those without a key.
-   *
-   * @param listed whether the configuration contains a list of tenants, be it empty
-   */
-  private record Tenants(boolean listed, Set<String> names, Map<String, Tenant> byKey) {
-    static final Tenants NONE = new Tenants(false, Set.of(), Map.of());
-  }
-
   /** Bounds of what clients may send. */
   public record Caps(int headerBytes, int bodyBytes, long headerWaitUs, long idleUs) {}
 
@@ -410,6 +401,9 @@
               fraction(each, at, "RatePerS", 0),
               fraction(each, at, "Burst", 0));
       tenantsListed = true;
+      if (tenant.name().chars().anyMatch(Character::isISOControl)) {
+        throw new Invalid(at + "/Name", "a control character in a name");
+      }
       if (!tenants.add(tenant.name())) {
         throw new Invalid(at, "two tenants are named " + tenant.name());
       }
--- a/src/main/java/wellwheel/edge/EdgeNode.java
+++ b/src/main/java/wellwheel/edge/EdgeNode.java
@@ -27,6 +27,7 @@
 import wellwheel.transport.Exchange.Answer;
 import wellwheel.transport.Frame;
 import wellwheel.transport.GracefulShutdown;
+import wellwheel.transport.HeaderText;
 import wellwheel.transport.Network;
 import wellwheel.transport.RequestFields;
 
@@ -1041,7 +1042,7 @@
                 frame.text("target"),
                 "Lease",
                 frame.text("lease")));
-    addIfPresent(headers, "Customer", frame.text("tenant"));
+    addIfPresent(headers, "Customer", HeaderText.utf8(frame.text("tenant")));
     addIfPresent(headers, "Order-Key", frame.text("okey"));
     var type = frame.text("type").isEmpty() ? "application/octet-stream" : frame.text("type");
     pull.exchange.answer(new Answer(ResultCode.FINE, headers, type, frame.bytes("body"), false));
--- a/src/main/java/wellwheel/functions/FrontNode.java
+++ b/src/main/java/wellwheel/functions/FrontNode.java
@@ -18,6 +18,7 @@
 import wellwheel.transport.Exchange;
 import wellwheel.transport.Frame;
 import wellwheel.transport.GracefulShutdown;
+import wellwheel.transport.HeaderText;
 import wellwheel.transport.Network;
 import wellwheel.transport.RequestFields;
 
@@ -145,7 +146,7 @@
     var nowUs = clock.steadyUs();
     var leftUs = Math.min(timeLeftUs(exchange), path.giveUpUs());
     var fields = new ArrayList<>(HeaderFields.ofRequest(exchange.fields()));
-    tenant.ifPresent(each -> fields.addAll(List.of("Customer", each.name())));
+    tenant.ifPresent(each -> fields.addAll(List.of("Customer", HeaderText.utf8(each.name()))));
     var call =
         new FunctionCall(
             path.service(),
--- a/src/main/java/wellwheel/queue/HttpDeliveryClient.java
+++ b/src/main/java/wellwheel/queue/HttpDeliveryClient.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import wellwheel.transport.HeaderText;
 import wellwheel.transport.PooledHttpClient;
 
 /** Delivers messages over HTTP. */
@@ -24,7 +25,7 @@
                 "Time-Left-Ms",
                 Long.toString(attempt.giveUpUs() / 1000)));
     add(headers, "Host", attempt.host());
-    add(headers, "Customer", attempt.tenant());
+    add(headers, "Customer", HeaderText.utf8(attempt.tenant()));
     add(headers, "Order-Key", attempt.orderKey());
     add(headers, "Target-Server", attempt.processorId());
     add(headers, "Content-Type", attempt.contentType());
--- a/src/test/java/wellwheel/config/ConfigurationTest.java
+++ b/src/test/java/wellwheel/config/ConfigurationTest.java
@@ -44,6 +44,7 @@
         "\"Tries\":3,\"InOrder\":true|\"Tries\":0,\"InOrder\":true|/Routing/1/Tries",
         "\"MaxConns\":110,|''|/Backends/0/MaxConns",
         "\"Name\":\"u\"|\"Name\":\"t\"|/Customers/1",
+        "\"Name\":\"u\"|\"Name\":\"u\\r\\nX: y\"|/Customers/1/Name",
         "\"Endpoint\":null|\"Endpoint\":\"10.0.0.1:99999\"|/Backends/0/Endpoint"
       })
   void eachFaultIsRefusedWithItsPlace(String good, String bad, String place) {
--- a/src/test/java/wellwheel/transport/PooledHttpClientTest.java
+++ b/src/test/java/wellwheel/transport/PooledHttpClientTest.java
@@ -648,4 +648,21 @@
     assertThat(get(client.call("BAD METHOD", "a", "ida", LONG_US)).fate()).isEqualTo(Fate.NOT_SENT);
     assertThat(service.seen).isEmpty();
   }
+
+  /** Guards against tenants that look alike to a processor: both went out as question marks. */
+  @Test
+  void textBeyondAsciiGoesOutAsUtf8() throws Exception {
+    var service = new Service((self, asked) -> asked.write(asked.whole()));
+    var client = new Client(service.address, 1);
+    for (var name : List.of("\ud55c\ube5b", "\ubd80\uc0b0", "caf\u00e9", "plain")) {
+      get(client.post(HeaderText.utf8(name), "id-" + name.length()));
+    }
+    var names =
+        service.seen.stream()
+            .map(
+                tag ->
+                    new String(tag.getBytes(StandardCharsets.ISO_8859_1), StandardCharsets.UTF_8))
+            .toList();
+    assertThat(names).containsExactly("\ud55c\ube5b", "\ubd80\uc0b0", "caf\u00e9", "plain");
+  }
 }
