Look-ups: a copy that cannot be sure says nothing of the message

An edge node of the former version takes a copy's "found" without a state for waiting after 1.7 s, so a copy that is no primary now answers as one that does not know and is not sure. Edge nodes of both versions then ask again and say 503; the mark that kept a 404 back is not needed any more, as a node that is not sure never counts for one."

--- a/src/main/java/wellwheel/edge/EdgeNode.java
+++ b/src/main/java/wellwheel/edge/EdgeNode.java
@@ -75,10 +75,6 @@
     long untilUs;
     final Set<String> asked = new HashSet<>();
     final Set<String> sure = new HashSet<>();
-
-    /** Whether a copy has it that cannot be sure of its state. */
-    boolean known;
-
     boolean wide;
     Optional<Consumer<String>> step = Optional.empty();
   }
@@ -761,10 +757,10 @@
     if (frame.flag("found")) {
       if (frame.flag("authority")) {
         tell(rid, look, frame);
-        return;
       }
-      look.known = true;
-    } else if (!look.wide && frame.flag("sure")) {
+      return;
+    }
+    if (!look.wide && frame.flag("sure")) {
       looks.remove(rid);
       look.wide = true;
       looks.put(++lastRid, look);
@@ -773,7 +769,7 @@
     }
     if (look.wide && frame.flag("sure")) {
       look.sure.add(from);
-      if (look.sure.containsAll(look.asked) && !look.known) {
+      if (look.sure.containsAll(look.asked)) {
         looks.remove(rid);
         if (look.step.isPresent()) {
           look.step.get().accept("");
--- a/src/main/java/wellwheel/queue/StateQueries.java
+++ b/src/main/java/wellwheel/queue/StateQueries.java
@@ -62,7 +62,7 @@
     }
     var partition = partitions.get(number);
     if (partition == null || !partition.open) {
-      network.send(from, unsure(question, false));
+      network.send(from, absent(question, false));
       return;
     }
     var message = find(partition, question);
@@ -79,7 +79,7 @@
     if (holder.isEmpty()) {
       network.send(from, absent(question, leaseAgeUs.getAsLong() < SURE_LEASE_AGE_US));
     } else if (!holder.get().open) {
-      network.send(from, unsure(question, true));
+      network.send(from, absent(question, false));
     } else {
       var partition = holder.get();
       tellOnceSure(from, question, partition, find(partition, question).orElseThrow());
@@ -182,14 +182,11 @@
     network.send(from, answer);
   }
 
+  /** Not known here; if that is not sure, it says nothing of the message. */
   private static Frame absent(Frame question, boolean sure) {
     return answer(question).with("sure", sure).with("found", false);
   }
 
-  private static Frame unsure(Frame question, boolean found) {
-    return answer(question).with("sure", false).with("found", found).with("authority", false);
-  }
-
   private static Frame answer(Frame question) {
     return Frame.of("look.ok").with("rid", question.number("rid"));
   }
