--- a/src/main/java/wellwheel/functions/FrontNode.java
+++ b/src/main/java/wellwheel/functions/FrontNode.java
@@ -5,22 +5,18 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.Consumer;
 import wellwheel.admission.RequestAdmission;
 import wellwheel.cluster.ClusterLease;
 import wellwheel.config.Configuration;
 import wellwheel.config.NodeOptions;
 import wellwheel.runtime.Clock;
-import wellwheel.runtime.LoopClock;
 import wellwheel.runtime.ResultCode;
 import wellwheel.runtime.WakeUpTimer;
 import wellwheel.transport.Exchange;
 import wellwheel.transport.Frame;
 import wellwheel.transport.GracefulShutdown;
-import wellwheel.transport.HeaderText;
 import wellwheel.transport.Network;
-import wellwheel.transport.RequestFields;
 
 /**
  * State machine of a front: takes requests, passes each to the owner of its function, and is itself
@@ -29,18 +25,11 @@
  */
 public final class FrontNode implements Network.MessageHandler, GracefulShutdown.Node {
   private static final System.Logger LOG = System.getLogger("front");
-  private static final int OPEN_MOST = 4096;
-  private static final long DEFAULT_TIME_LEFT_US = 10_000_000;
   private static final long REPORT_SOON_US = 4_000;
   private static final long REPORT_US = 200_000;
   private static final long REPORT_IDLE_US = 1_000_000;
   private static final long DOWN_US = 2_000_000;
-  private static final long PASS_AGAIN_US = 30_000;
-  private static final long MOVED_AGAIN_US = 5_000;
-  private static final long END_SLACK_US = 60_000;
   private static final int HOSTS_MOST = 4096;
-  private static final int SERVICE_UNAVAILABLE = 503;
-  private static final String RETRY_AFTER_S = "0.2";
 
   private final NodeOptions options;
   private final Clock clock;
@@ -52,11 +41,10 @@
   private final WakeUpTimer wakeUps;
   private final WakeUpTimer reports;
   private final Map<String, FunctionPool> pools = new LinkedHashMap<>();
-  private final Map<Long, PassedCall> passed = new LinkedHashMap<>();
+  private final PassedCalls passed;
   private final Map<String, Long> downUs = new HashMap<>();
   private OwnerTable table = OwnerTable.NONE;
   private final String id;
-  private long lastNumber;
   private long reportedUs;
   private int turn;
   private int owned;
@@ -72,7 +60,6 @@
     this.network = network;
     this.client = client;
     id = options.node() + "#" + Long.toHexString(incarnation & 0xffffffffL);
-    lastNumber = (incarnation & 0x7fffffffL) << 32;
     turn = (int) incarnation;
     var functions = options.functions();
     retries =
@@ -92,6 +79,9 @@
     admission =
         new RequestAdmission(
             clusterLease, RequestAdmission.KeyRule.WHERE_CONFIGURED, options.revokeUs());
+    passed =
+        new PassedCalls(
+            this, options.ip(), clock, network, new Owners(), (incarnation & 0x7fffffffL) << 32);
     wakeUps = new WakeUpTimer(clock, this::tick);
     reports = new WakeUpTimer(clock, this::report);
   }
@@ -123,99 +113,31 @@
   public synchronized void onExchange(Exchange exchange) {
     var verdict = admission.admit(exchange);
     if (verdict instanceof RequestAdmission.Refused refused) {
-      refuse(exchange, refused.code());
+      PassedCalls.refuse(exchange, refused.code());
     } else if (exchange.header("Attempt-Id").filter(text -> !text.isBlank()).isEmpty()) {
-      refuse(exchange, ResultCode.NO_ID);
-    } else if (passed.size() >= OPEN_MOST) {
-      refuse(exchange, ResultCode.NO_INSTANCE);
+      PassedCalls.refuse(exchange, ResultCode.NO_ID);
     } else {
       var admitted = (RequestAdmission.Admitted) verdict;
-      pass(exchange, admitted.path(), admitted.tenant());
+      passed.take(
+          exchange, admitted.path(), admitted.tenant(), clusterLease.configuration().revision());
     }
   }
 
-  private static void refuse(Exchange exchange, ResultCode code) {
-    exchange.answer(
-        code.status() == SERVICE_UNAVAILABLE
-            ? Exchange.Answer.of(code, "Retry-After", RETRY_AFTER_S)
-            : Exchange.Answer.of(code));
-  }
-
-  private void pass(
-      Exchange exchange, Configuration.Path path, Optional<Configuration.Tenant> tenant) {
-    var nowUs = clock.steadyUs();
-    var leftUs = Math.min(timeLeftUs(exchange), path.giveUpUs());
-    var fields = new ArrayList<>(HeaderFields.ofRequest(exchange.fields()));
-    tenant.ifPresent(each -> fields.addAll(List.of("Customer", HeaderText.utf8(each.name()))));
-    var call =
-        new FunctionCall(
-            path.service(),
-            exchange.header("Attempt-Id").orElse(""),
-            exchange.method(),
-            exchange.target(),
-            fields,
-            exchange.body(),
-            path.rank(),
-            path.kind() == Configuration.Kind.SAFE,
-            path.tries(),
-            false,
-            leftUs,
-            clusterLease.configuration().revision());
-    var number = ++lastNumber;
-    var each = new PassedCall(exchange, call, nowUs + leftUs);
-    passed.put(number, each);
-    exchange.onClose(() -> clientGone(number));
-    clock.after(leftUs + END_SLACK_US, () -> outOfTime(number));
-    passOn(number, each);
-  }
-
-  private static long timeLeftUs(Exchange exchange) {
-    var leftMs = RequestFields.number(exchange.header("Time-Left-Ms"), -1);
-    return leftMs < 0 ? DEFAULT_TIME_LEFT_US : leftMs * 1000;
-  }
-
-  /** Nobody waits for the answer any more: a call that still waits is not to run. */
-  private synchronized void clientGone(long number) {
-    Optional.ofNullable(passed.remove(number))
-        .filter(each -> !each.ownerIp.isEmpty())
-        .ifPresent(each -> withdraw(number, each));
-  }
-
-  private synchronized void outOfTime(long number) {
-    Optional.ofNullable(passed.remove(number))
-        .ifPresent(
-            each ->
-                answer(
-                    each,
-                    new CallOutcome.Ended(
-                        each.ownerIp.isEmpty() ? ResultCode.NO_INSTANCE : ResultCode.OUT_OF_TIME)));
-  }
-
-  private void passOn(long number, PassedCall each) {
-    if (refusing) {
-      end(number, new CallOutcome.Ended(ResultCode.NO_INSTANCE));
-      return;
+  private final class Owners implements PassedCalls.Owners {
+    @Override
+    public String choose(String service) {
+      var nowUs = clock.steadyUs();
+      return owners().ownerOf(service, options.zone(), turn++, ip -> usable(ip, nowUs));
     }
-    var nowUs = clock.steadyUs();
-    var leftUs = each.untilUs - nowUs;
-    each.ownerIp =
-        owners().ownerOf(each.call.service(), options.zone(), turn++, ip -> usable(ip, nowUs));
-    if (each.ownerIp.isEmpty()) {
-      clock.after(PASS_AGAIN_US, () -> passAgain(number));
-    } else if (each.ownerIp.equals(options.ip())) {
-      own(
-          new FunctionPool.CallKey(options.ip(), number),
-          each.call.withLeft(each.triesLeft, leftUs),
-          outcome -> over(options.ip(), number, outcome));
-    } else {
-      network.send(each.ownerIp, each.call.withLeft(each.triesLeft, leftUs).toFrame(number));
+
+    @Override
+    public void own(FunctionPool.CallKey key, FunctionCall call, Consumer<CallOutcome> done) {
+      FrontNode.this.own(key, call, done);
     }
-  }
 
-  private synchronized void passAgain(long number) {
-    var each = passed.get(number);
-    if (each != null && each.ownerIp.isEmpty()) {
-      passOn(number, each);
+    @Override
+    public void withdraw(FunctionPool.CallKey key) {
+      FrontNode.this.withdraw(key);
     }
   }
 
@@ -302,45 +224,6 @@
     }
   }
 
-  /**
-   * Takes the outcome of a call. Only its present owner decides what becomes of it; an answer
-   * counts whoever sends it.
-   */
-  private synchronized void over(String ownerIp, long number, CallOutcome outcome) {
-    var each = passed.get(number);
-    var answered = outcome instanceof CallOutcome.Answered;
-    if (each == null || !answered && !each.ownerIp.equals(ownerIp)) {
-      return;
-    }
-    if (outcome instanceof CallOutcome.Moved) {
-      each.ownerIp = "";
-      clock.after(MOVED_AGAIN_US, () -> passAgain(number));
-    } else if (outcome instanceof CallOutcome.Tried tried) {
-      again(number, each, tried);
-    } else {
-      end(number, outcome);
-    }
-  }
-
-  private void end(long number, CallOutcome outcome) {
-    Optional.ofNullable(passed.remove(number)).ifPresent(each -> answer(each, outcome));
-  }
-
-  private void answer(PassedCall each, CallOutcome outcome) {
-    if (outcome instanceof CallOutcome.Answered answered) {
-      each.exchange.relay(answered.answer());
-      return;
-    }
-    var code = ((CallOutcome.Ended) outcome).code();
-    if (code == ResultCode.NO_INSTANCE && each.mayHaveRun) {
-      each.exchange.answer(Exchange.Answer.of(ResultCode.RUN_UNKNOWN));
-    } else if (code == ResultCode.NO_INSTANCE) {
-      refuse(each.exchange, code);
-    } else {
-      each.exchange.answer(Exchange.Answer.of(code));
-    }
-  }
-
   private synchronized void report() {
     reportedUs = clock.steadyUs();
     var rows = new ArrayList<Object>();
@@ -368,8 +251,9 @@
             FunctionCall.read(frame),
             outcome -> network.send(from, outcome.toFrame(number)));
       }
-      case CallWithdrawal.KIND -> withdraw(from, CallWithdrawal.read(frame));
-      case CallOutcome.KIND -> over(from, frame.number("rid"), CallOutcome.read(frame));
+      case CallWithdrawal.KIND ->
+          withdraw(new FunctionPool.CallKey(from, CallWithdrawal.read(frame).requestNumber()));
+      case CallOutcome.KIND -> passed.over(from, frame.number("rid"), CallOutcome.read(frame));
       case OwnerTable.KIND -> take(OwnerTable.read(frame));
       case Scaler.ASSIGNED -> frame.frames("rows").forEach(this::assign);
       default -> {}
@@ -409,42 +293,18 @@
       downUs.clear();
     }
     downUs.put(ip, clock.steadyUs());
-    for (var entry : List.copyOf(passed.entrySet())) {
-      if (entry.getValue().ownerIp.equals(ip)) {
-        LoopClock.guarded(() -> lost(entry.getKey(), entry.getValue()));
-      }
-    }
-  }
-
-  /**
-   * An owner that cannot be reached may have sent the call to an instance: that counts as a try.
-   */
-  private void lost(long number, PassedCall each) {
-    again(number, each, new CallOutcome.Tried(true));
-  }
-
-  private void again(long number, PassedCall each, CallOutcome.Tried tried) {
-    each.mayHaveRun |= tried.mayHaveRun();
-    each.triesLeft--;
-    if (each.triesLeft > 0 && (each.call.repeatable() || !each.mayHaveRun)) {
-      passOn(number, each);
-    } else {
-      end(number, tried.last());
-    }
+    passed.lost(ip);
   }
 
   @Override
   public synchronized void onUnsent(String ip, Frame frame) {
     downUs.put(ip, clock.steadyUs());
     if (frame.kind().equals(FunctionCall.KIND)) {
-      Optional.ofNullable(passed.get(frame.number("rid")))
-          .filter(each -> each.ownerIp.equals(ip))
-          .ifPresent(each -> passOn(frame.number("rid"), each));
+      passed.unsent(ip, frame.number("rid"));
     }
   }
 
-  private void withdraw(String frontIp, CallWithdrawal withdrawal) {
-    var key = new FunctionPool.CallKey(frontIp, withdrawal.requestNumber());
+  private void withdraw(FunctionPool.CallKey key) {
     List.copyOf(pools.values()).forEach(pool -> pool.withdraw(key));
   }
 
@@ -464,32 +324,13 @@
   @Override
   public synchronized void refuseWaiting() {
     refusing = true;
-    for (var entry : List.copyOf(passed.entrySet())) {
-      recall(entry.getKey(), entry.getValue());
-    }
+    passed.refuseWaiting();
     List.copyOf(pools.values()).forEach(FunctionPool::handBack);
   }
 
-  private void recall(long number, PassedCall each) {
-    if (each.ownerIp.isEmpty()) {
-      passOn(number, each);
-    } else {
-      withdraw(number, each);
-    }
-  }
-
-  private void withdraw(long number, PassedCall each) {
-    if (each.ownerIp.equals(options.ip())) {
-      withdraw(options.ip(), new CallWithdrawal(number));
-    } else {
-      network.send(each.ownerIp, new CallWithdrawal(number).toFrame());
-    }
-  }
-
   @Override
   public synchronized void answerRest() {
-    List.copyOf(passed.keySet())
-        .forEach(number -> end(number, new CallOutcome.Ended(ResultCode.RUN_UNKNOWN)));
+    passed.answerRest();
   }
 
   @Override
