A call's time left does not count its time on the way (held calls)

Cause: nothing told the owner how long a frame was on its way.

Why it works: frames are stamped with the time since the greeting, and the delay over the fastest frame of the connection is taken off each time left; what has waited for the greeting is stamped with the time at which it was to be sent.

--- a/src/main/java/wellwheel/functions/FunctionCall.java
+++ b/src/main/java/wellwheel/functions/FunctionCall.java
@@ -13,7 +13,7 @@
  * @param repeatable whether it may run more than once
  * @param triesLeft the most instances to which it may still be sent; an owner sends it to one
  * @param repeated whether an instance was sent it before
- * @param leftUs how much of its time is left
+ * @param leftUs how much of its time is left, in microseconds, without what it took on its way
  * @param revision revision of the configuration that allowed it
  */
 record FunctionCall(
@@ -76,7 +76,7 @@
         frame.flag("y"),
         frame.small("n"),
         frame.flag("ag"),
-        frame.number("u"),
+        frame.remainingUs(frame.number("u")),
         frame.number("cr"));
   }
 }
--- a/src/main/java/wellwheel/transport/Frame.java
+++ b/src/main/java/wellwheel/transport/Frame.java
@@ -29,6 +29,8 @@
   private byte[] packedIn = NO_BYTES;
   private int packedFrom;
   private int packedTo;
+  private boolean delayKnown;
+  private long delayUs;
 
   private static MessageBufferPacker newPacker() {
     return new MessagePack.PackerConfig().withBufferSize(PACKER_BYTES).newBufferPacker();
@@ -139,6 +141,31 @@
     return found;
   }
 
+  /** Notes how long the frame was on its way. This is not packed. */
+  public Frame delayedBy(long newDelayUs) {
+    delayKnown = true;
+    delayUs = newDelayUs;
+    return this;
+  }
+
+  /** Whether it is known how long the frame was on its way. */
+  public boolean delayKnown() {
+    return delayKnown;
+  }
+
+  /**
+   * How much longer the frame was on its way than the fastest one of its connection, in
+   * microseconds; 0 where that is not known.
+   */
+  public long delayUs() {
+    return delayUs;
+  }
+
+  /** What is left now of a time that was left when the frame was sent, in microseconds. */
+  public long remainingUs(long leftUs) {
+    return leftUs - delayUs;
+  }
+
   /** The packed form. The frame remembers it: packing it again, also inside another, is a copy. */
   public byte[] pack() {
     if (packedTo == packedFrom) {
--- a/src/main/java/wellwheel/transport/Greeting.java
+++ b/src/main/java/wellwheel/transport/Greeting.java
@@ -7,7 +7,7 @@
   private static final String STALE = "stale";
   private static final int PROTOCOL = 1;
   private static final byte[] PING_BYTES = Frame.of(PING).pack();
-  private static final byte[] PONG_BYTES = Frame.of("pong").pack();
+  private static final byte[] PONG_BYTES = Frame.of("pong").with("st", true).pack();
 
   private Greeting() {}
 
@@ -35,11 +35,15 @@
     return PING_BYTES;
   }
 
-  /** Answers a ping. */
+  /** Answers a ping, and tells that stamps are understood. */
   static byte[] pong() {
     return PONG_BYTES;
   }
 
+  static boolean understandsStamps(Frame pong) {
+    return pong.flag("st");
+  }
+
   /** Refuses a connection that is older than one known. */
   static byte[] stale(long knownLife) {
     return Frame.of(STALE).with("life", knownLife).pack();
--- a/src/main/java/wellwheel/transport/InboundConnection.java
+++ b/src/main/java/wellwheel/transport/InboundConnection.java
@@ -27,11 +27,14 @@
   private long life;
   private long number;
   private boolean superseded;
+  private boolean stamped;
+  private TransitDelay delay;
   private Runnable close = () -> {};
 
   InboundConnection(Host host, Clock clock) {
     this.host = host;
     this.clock = clock;
+    delay = new TransitDelay(clock.steadyUs());
   }
 
   String peer() {
@@ -40,7 +43,7 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, ByteBuf buffer) {
-    var frame = WireFormat.readFrame(buffer);
+    var frame = read(buffer);
     if (superseded) {
       return;
     }
@@ -53,11 +56,24 @@
     }
   }
 
+  private Frame read(ByteBuf buffer) {
+    var stamp = WireFormat.readStamp(buffer);
+    var frame = WireFormat.readFrame(buffer);
+    stamped |= stamp.isPresent();
+    if (!stamped) {
+      return frame;
+    }
+    var nowUs = clock.steadyUs();
+    return frame.delayedBy(
+        stamp.isPresent() ? delay.delayUs(stamp.getAsInt(), nowUs) : delay.delayUs(nowUs));
+  }
+
   private void greet(ChannelHandlerContext context, Frame hello) {
     if (!Greeting.isHello(hello)) {
       context.close();
       return;
     }
+    delay = new TransitDelay(clock.steadyUs());
     peer = hello.text("ip");
     life = hello.number("life");
     number = hello.number("c");
--- a/src/main/java/wellwheel/transport/Links.java
+++ b/src/main/java/wellwheel/transport/Links.java
@@ -143,7 +143,8 @@
     }
     var bytes = frame.pack();
     if (peerIp.equals(ip)) {
-      loop.execute(() -> LoopClock.guarded(() -> handler.onFrame(ip, Frame.unpack(bytes))));
+      loop.execute(
+          () -> LoopClock.guarded(() -> handler.onFrame(ip, Frame.unpack(bytes).delayedBy(0))));
       return;
     }
     links.computeIfAbsent(peerIp, this::linkTo).send(frame, bytes);
--- a/src/main/java/wellwheel/transport/OutboundLink.java
+++ b/src/main/java/wellwheel/transport/OutboundLink.java
@@ -55,7 +55,7 @@
     UP
   }
 
-  private record Queued(Frame frame, byte[] bytes) {}
+  private record Queued(Frame frame, byte[] bytes, long sinceUs) {}
 
   private final String ip;
   private final int port;
@@ -68,6 +68,13 @@
   private Channel channel;
   private long queuedBytes;
   private long restUntilUs;
+  private long greetedUs;
+  private boolean stamps;
+
+  /** Whether a frame of this connection was stamped, and how the last one was. */
+  private boolean hasStamp;
+
+  private int lastStamp;
   private boolean unflushed;
 
   /** Whether the peer refused the last greeting, as it knows a later life of this node. */
@@ -101,11 +108,11 @@
 
   void send(Frame frame, byte[] bytes) {
     if (state == State.UP) {
-      write(frame, bytes);
+      write(frame, bytes, clock.steadyUs());
     } else if (clock.steadyUs() < restUntilUs || queuedBytes > queuedBytesMost) {
       unsentSoon(frame);
     } else {
-      queue.add(new Queued(frame, bytes));
+      queue.add(new Queued(frame, bytes, clock.steadyUs()));
       queuedBytes += bytes.length;
       connect();
     }
@@ -115,13 +122,14 @@
     loop.execute(() -> LoopClock.guarded(() -> host.unsent(ip, frame)));
   }
 
-  private void write(Frame frame, byte[] bytes) {
+  /** Writes a frame that was to be sent at a steady time, which may lie before the greeting. */
+  private void write(Frame frame, byte[] bytes, long sinceUs) {
     var buffer = channel.unsafe().outboundBuffer();
     if (buffer != null && buffer.totalPendingWriteBytes() > queuedBytesMost) {
       unsentSoon(frame);
       return;
     }
-    channel.write(WireFormat.framed(bytes), channel.voidPromise());
+    channel.write(stamped(bytes, sinceUs), channel.voidPromise());
     if (!isAnswer(frame)) {
       talked = true;
       sentAt = ++exchanges;
@@ -132,6 +140,17 @@
     }
   }
 
+  /** Stamps a frame, unless it goes with the stamp of the one before. */
+  private ByteBuf stamped(byte[] bytes, long sinceUs) {
+    var stamp = TransitDelay.stampOf(sinceUs - greetedUs);
+    if (!stamps || hasStamp && stamp == lastStamp) {
+      return WireFormat.framed(bytes);
+    }
+    hasStamp = true;
+    lastStamp = stamp;
+    return WireFormat.stamped(stamp, bytes);
+  }
+
   void flush() {
     unflushed = false;
     if (state == State.UP) {
@@ -184,6 +203,8 @@
     var fresh = future.channel();
     channel = fresh;
     state = State.GREETING;
+    stamps = false;
+    greetedUs = clock.steadyUs();
     fresh.write(WireFormat.framed(host.hello()), fresh.voidPromise());
     fresh.writeAndFlush(WireFormat.framed(Greeting.ping()), fresh.voidPromise());
     clock.after(GREETING_US, () -> endGreeting(fresh));
@@ -217,11 +238,13 @@
     host.knownLife(knownLife);
   }
 
-  private void greeted() {
+  private void greeted(Frame pong) {
     state = State.UP;
     refused = false;
+    stamps = Greeting.understandsStamps(pong);
+    hasStamp = false;
     owed = false;
-    takeQueue().forEach(each -> write(each.frame(), each.bytes()));
+    takeQueue().forEach(each -> write(each.frame(), each.bytes(), each.sinceUs()));
     flush();
   }
 
@@ -253,7 +276,7 @@
         refusedAs(frame.number("life"));
         context.close();
       } else if (channel == context.channel() && state == State.GREETING) {
-        greeted();
+        greeted(frame);
       } else if (channel == context.channel()) {
         owed = false;
       }
--- a/src/test/java/wellwheel/functions/FunctionsModelTest.java
+++ b/src/test/java/wellwheel/functions/FunctionsModelTest.java
@@ -5,6 +5,7 @@
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import wellwheel.transport.ModelLinks;
 
 /** Seeded days of functions: fronts die and leave, leaders change, instances crash and drain. */
 class FunctionsModelTest {
@@ -165,7 +166,7 @@
       var ips = world.frontIps();
       var from = ips.get(world.random.nextInt(ips.size()));
       var to = ips.get(world.random.nextInt(ips.size()));
-      var faults = FunctionsWorld.LinkFault.values();
+      var faults = ModelLinks.Fault.values();
       if (!from.equals(to)) {
         var fault = faults[world.random.nextInt(faults.length)];
         world.failLink(from, to, fault, 500_000 + world.random.nextInt(3_000_000));
@@ -182,6 +183,48 @@
     assertThat(served(world)).isGreaterThan(0.8);
   }
 
+  /**
+   * Guards against calls that run late, and with too much time, when a link that held them opens.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {101, 102, 103, 104, 105, 106, 107, 108})
+  void whatALinkHeldIsGivenNoMoreTimeThanRemains(long seed) throws Exception {
+    var world = new FunctionsWorld(seed, 6);
+    world.time.runFor(2 * SECOND);
+    world.call(150, 30 * SECOND);
+    for (var round = 0; round < 20; round++) {
+      var ips = world.frontIps();
+      var from = ips.get(world.random.nextInt(ips.size()));
+      var to = ips.get(world.random.nextInt(ips.size()));
+      if (from.equals(to)) {
+        world.freeze(from, 500_000 + world.random.nextInt(5_000_000));
+      } else {
+        holdInSeries(world, from, to);
+      }
+      world.time.runFor(1_500_000);
+    }
+    settleAndCheck(world);
+    assertThat(world.checker.givenTooLong).isEmpty();
+    assertThat(served(world)).isGreaterThan(0.8);
+  }
+
+  /** Links hold what is sent, once for long or in a short series, one way or both. */
+  private static void holdInSeries(FunctionsWorld world, String from, String to) {
+    var series = world.random.nextBoolean();
+    var both = world.random.nextBoolean();
+    for (var turn = 0; turn < (series ? 6 : 1); turn++) {
+      var spanUs = series ? 900_000 : 5_500_000;
+      world.time.after(
+          turn * 1_200_000L,
+          () -> {
+            world.failLink(from, to, ModelLinks.Fault.HELD, spanUs);
+            if (both) {
+              world.failLink(to, from, ModelLinks.Fault.HELD, spanUs);
+            }
+          });
+    }
+  }
+
   /** Guards against calls that run though their clients have closed while they waited. */
   @ParameterizedTest
   @ValueSource(longs = {91, 92, 93, 94})
--- a/src/test/java/wellwheel/functions/FunctionsWorld.java
+++ b/src/test/java/wellwheel/functions/FunctionsWorld.java
@@ -10,13 +10,16 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Supplier;
 import wellwheel.cluster.ClusterView;
 import wellwheel.config.Configuration;
 import wellwheel.config.NodeOptions;
+import wellwheel.runtime.Clock;
 import wellwheel.runtime.EventQueue;
 import wellwheel.transport.Exchange;
 import wellwheel.transport.Frame;
 import wellwheel.transport.GracefulShutdown;
+import wellwheel.transport.ModelLinks;
 import wellwheel.transport.Network;
 
 /** Fronts, scalers and a platform in simulated time, with the calls of clients and their ends. */
@@ -24,9 +27,10 @@
   static final long SECOND = 1_000_000;
   private static final int SERVICES = 12;
   private static final int SLOTS = 2;
-  private static final long LINK_US = 900;
-  private static final long SILENCE_US = 750_000;
-  private static final long CONNECT_US = 400_000;
+  private static final int LEFT_MS = 4_000;
+
+  /** How long clients wait for an answer. */
+  static final long LEFT_US = LEFT_MS * 1_000L;
 
   private static final GracefulShutdown.Clients NO_CLIENTS =
       new GracefulShutdown.Clients() {
@@ -58,19 +62,19 @@
     int status;
     String seal = "";
     int answers;
+    long answeredUs = Long.MAX_VALUE / 2;
     boolean closed;
     private Runnable onClose = () -> {};
 
-    Call(String id, String target, boolean safe, long sentUs) {
-      this(id, target, safe, sentUs, "");
-    }
+    private final EventQueue time;
 
-    Call(String id, String target, boolean safe, long sentUs, String key) {
+    Call(String id, String target, boolean safe, EventQueue time, String key) {
+      this.time = time;
       this.key = key;
       this.id = id;
       this.target = target;
       this.safe = safe;
-      this.sentUs = sentUs;
+      this.sentUs = time.nowUs;
     }
 
     @Override
@@ -92,7 +96,7 @@
                   "Attempt-Id",
                   id,
                   "Time-Left-Ms",
-                  "4000",
+                  Integer.toString(LEFT_MS),
                   "Authorization",
                   "Bearer " + key)
               .get(name));
@@ -110,17 +114,22 @@
 
     @Override
     public void answer(Answer answer) {
-      answers++;
+      answered();
       status = answer.code().status();
     }
 
     @Override
     public void relay(Relayed answer) {
-      answers++;
+      answered();
       status = answer.status();
       seal = answer.fields().get(answer.fields().indexOf("server-seal") + 1);
     }
 
+    private void answered() {
+      answers++;
+      answeredUs = time.nowUs;
+    }
+
     @Override
     public boolean open() {
       return answers == 0;
@@ -143,6 +152,8 @@
     final int life;
     final FrontNode node;
     boolean up = true;
+    boolean frozen;
+    private final List<Runnable> deferred = new ArrayList<>();
 
     Front(String ip, int life) throws Exception {
       this.ip = ip;
@@ -157,11 +168,62 @@
       node =
           new FrontNode(
               options,
-              time.clock(() -> up),
+              new ProcessClock(this),
               networkOf(ip, () -> up),
-              platform.clientOf(() -> up),
+              platform.clientOf(this::run),
               random.nextLong());
     }
+
+    /** Runs a task of the process once it is neither dead nor frozen. */
+    void run(Runnable task) {
+      if (frozen) {
+        deferred.add(task);
+      } else if (up) {
+        task.run();
+      }
+    }
+
+    void thaw() {
+      frozen = false;
+      var due = List.copyOf(deferred);
+      deferred.clear();
+      due.forEach(this::run);
+    }
+  }
+
+  /** The clock of a process, whose timers stand still with it. */
+  private final class ProcessClock implements Clock {
+    private final Front front;
+    private final Clock clock = time.clock(() -> true);
+
+    ProcessClock(Front front) {
+      this.front = front;
+    }
+
+    @Override
+    public long steadyUs() {
+      return clock.steadyUs();
+    }
+
+    @Override
+    public long wallUs() {
+      return clock.wallUs();
+    }
+
+    @Override
+    public Schedule after(long waitUs, Runnable task) {
+      boolean[] cancelled = {false};
+      clock.after(
+          waitUs,
+          () ->
+              front.run(
+                  () -> {
+                    if (!cancelled[0]) {
+                      task.run();
+                    }
+                  }));
+      return () -> cancelled[0] = true;
+    }
   }
 
   private final class Control implements Scaler.Leadership {
@@ -237,11 +299,12 @@
   final EventQueue time = new EventQueue();
   final Random random;
   final SimulatedPlatform platform;
+  final ArrivalChecker checker = new ArrivalChecker();
   final List<Call> calls = new ArrayList<>();
   private final Map<String, Front> fronts = new LinkedHashMap<>();
   private final Map<String, Control> controls = new LinkedHashMap<>();
   private final Map<String, String> ids = new HashMap<>();
-  private final Map<String, LinkFault> linkFaults = new HashMap<>();
+  private final ModelLinks links;
   private final Set<String> cutOff = new HashSet<>();
   private Configuration configuration;
   private byte[] json;
@@ -252,7 +315,8 @@
 
   FunctionsWorld(long seed, int frontCount) throws Exception {
     random = new Random(seed);
-    platform = new SimulatedPlatform(time, random, SLOTS);
+    links = new ModelLinks(time, random, new Nodes());
+    platform = new SimulatedPlatform(time, random, SLOTS, checker);
     configure(configurationJson());
     for (var number = 1; number <= 2; number++) {
       controls.put("10.1.0." + number, new Control("10.1.0." + number));
@@ -334,30 +398,36 @@
   }
 
   private void send(String from, String to, Frame frame) {
-    var fault = linkFaults.get(from + ">" + to);
-    if (fault == LinkFault.UNREACHABLE) {
-      unsent(from, to, frame);
+    links.send(from, to, frame);
+  }
+
+  private final class Nodes implements ModelLinks.Host {
+    @Override
+    public void deliver(String from, String to, Supplier<Frame> read) {
+      var front = fronts.get(to);
+      if (isCut(from, to)) {
+        return;
+      }
+      if (controls.containsKey(to)) {
+        controls.get(to).hear(from, read.get());
+      } else if (front != null && front.up) {
+        front.run(() -> front.node.onFrame(from, read.get()));
+      } else {
+        unsent(from, to, read.get());
+      }
     }
-    if (fault != null) {
-      return;
+
+    @Override
+    public void unsent(String from, String to, Frame frame) {
+      Optional.ofNullable(fronts.get(from))
+          .ifPresent(front -> front.run(() -> front.node.onUnsent(to, frame)));
+    }
+
+    @Override
+    public void down(String from, String to) {
+      Optional.ofNullable(fronts.get(from))
+          .ifPresent(front -> front.run(() -> front.node.onDown(to)));
     }
-    var bytes = frame.pack();
-    time.after(
-        from.equals(to) ? 1 : LINK_US,
-        () -> {
-          var control = controls.get(to);
-          var front = fronts.get(to);
-          if (isCut(from, to)) {
-            return;
-          }
-          if (control != null) {
-            control.hear(from, Frame.unpack(bytes));
-          } else if (front != null && front.up) {
-            front.node.onFrame(from, Frame.unpack(bytes));
-          } else if (fronts.containsKey(from) && fronts.get(from).up) {
-            fronts.get(from).node.onUnsent(to, frame);
-          }
-        });
   }
 
   /** Starts a front anew at an address. */
@@ -374,24 +444,17 @@
   /** Kills a front; the others see their connections to it break. */
   void kill(String ip) {
     fronts.get(ip).up = false;
+    links.reset(ip);
     fronts
         .values()
         .forEach(
-            front ->
-                time.after(
-                    LINK_US,
-                    () -> {
-                      if (front.up) {
-                        front.node.onDown(ip);
-                      }
-                    }));
+            front -> time.after(ModelLinks.LINK_US, () -> front.run(() -> front.node.onDown(ip))));
   }
 
   /** Stops a front as its process does at SIGTERM, within a grace of some microseconds. */
   void stop(String ip, long graceUs) {
     var front = fronts.get(ip);
-    new GracefulShutdown(
-            time.clock(() -> front.up), graceUs, NO_CLIENTS, front.node, () -> kill(ip))
+    new GracefulShutdown(new ProcessClock(front), graceUs, NO_CLIENTS, front.node, () -> kill(ip))
         .begin();
   }
 
@@ -418,59 +481,45 @@
     if (time.nowUs >= untilUs) {
       return;
     }
-    var ready = fronts.values().stream().filter(each -> each.up && each.node.ready()).toList();
+    var ready =
+        fronts.values().stream()
+            .filter(each -> each.up && !each.frozen && each.node.ready())
+            .toList();
     if (!ready.isEmpty()) {
       var safe = random.nextBoolean();
       var service = Math.min(random.nextInt(SERVICES), random.nextInt(SERVICES));
       var target = "/" + (safe ? "safe" : "unsafe") + service + "/x";
-      var call = new Call("c-" + calls.size(), target, safe, time.nowUs);
+      var call = new Call("c-" + calls.size(), target, safe, time, "");
       calls.add(call);
-      ready.get(random.nextInt(ready.size())).node.onExchange(call);
+      checker.sent(call);
+      var front = ready.get(random.nextInt(ready.size()));
+      front.run(() -> front.node.onExchange(call));
     }
     time.after(
         (long) (-Math.log(1 - random.nextDouble()) / perS * 1e6), () -> nextCall(perS, untilUs));
   }
 
-  /** How a link between two fronts fails, one way. */
-  enum LinkFault {
-    /** No connection comes up: what was to be sent is told unsent when that is known. */
-    UNREACHABLE,
-
-    /** What is sent is lost; the silence breaks the connection, and no other comes up. */
-    SILENT
-  }
-
   /** The link from one front to another fails for some time. */
-  void failLink(String from, String to, LinkFault fault, long spanUs) {
-    linkFaults.put(from + ">" + to, fault);
-    if (fault == LinkFault.SILENT) {
-      time.after(
-          SILENCE_US,
-          () -> {
-            linkFaults.replace(from + ">" + to, LinkFault.UNREACHABLE);
-            if (fronts.get(from).up) {
-              fronts.get(from).node.onDown(to);
-            }
-          });
-    }
-    time.after(spanUs, () -> linkFaults.remove(from + ">" + to));
+  void failLink(String from, String to, ModelLinks.Fault fault, long spanUs) {
+    links.fail(from, to, fault, spanUs);
   }
 
-  private void unsent(String from, String to, Frame frame) {
-    time.after(
-        CONNECT_US,
-        () -> {
-          if (fronts.get(from).up) {
-            fronts.get(from).node.onUnsent(to, frame);
-            fronts.get(from).node.onDown(to);
-          }
-        });
+  /** A front's process stands still for some time; what is sent to it waits. */
+  void freeze(String ip, long spanUs) {
+    var front = fronts.get(ip);
+    if (!front.up || front.frozen) {
+      return;
+    }
+    front.frozen = true;
+    fronts.keySet().forEach(each -> links.fail(each, ip, ModelLinks.Fault.HELD, spanUs));
+    time.after(spanUs, front::thaw);
   }
 
   /** Sends one call on an open connection, whether the front wants new clients or not. */
   Call callAt(String ip, String key) {
-    var call = new Call("c-" + calls.size(), "/safe0/x", true, time.nowUs, key);
+    var call = new Call("c-" + calls.size(), "/safe0/x", true, time, key);
     calls.add(call);
+    checker.sent(call);
     fronts.get(ip).node.onExchange(call);
     return call;
   }
--- a/src/test/java/wellwheel/functions/SimulatedPlatform.java
+++ b/src/test/java/wellwheel/functions/SimulatedPlatform.java
@@ -49,6 +49,7 @@
   private final EventQueue time;
   private final Random random;
   private final int slots;
+  private final ArrivalChecker checker;
   private final Map<String, Running> byKey = new HashMap<>();
   private final Map<String, Running> byAddress = new LinkedHashMap<>();
   private List<Platform.Listed> listed = List.of();
@@ -64,7 +65,8 @@
   int fencedOff;
   private long highestFence;
 
-  SimulatedPlatform(EventQueue time, Random random, int slots) {
+  SimulatedPlatform(EventQueue time, Random random, int slots, ArrivalChecker checker) {
+    this.checker = checker;
     this.time = time;
     this.random = random;
     this.slots = slots;
@@ -161,8 +163,8 @@
     return instance;
   }
 
-  /** How the instances answer calls of one front. */
-  InstanceClient clientOf(java.util.function.BooleanSupplier lives) {
+  /** How the instances answer calls of one front, whose process runs what comes back. */
+  InstanceClient clientOf(Consumer<Runnable> process) {
     return new InstanceClient() {
       @Override
       public void send(
@@ -171,7 +173,7 @@
           FunctionCall call,
           int connections,
           Consumer<PooledHttpClient.Answer> done) {
-        time.after(1_000, () -> arrive(address, call, answer -> back(answer, done, lives)));
+        time.after(1_000, () -> arrive(address, call, answer -> back(answer, done, process)));
       }
 
       @Override
@@ -182,21 +184,18 @@
   private void back(
       PooledHttpClient.Answer answer,
       Consumer<PooledHttpClient.Answer> done,
-      java.util.function.BooleanSupplier lives) {
-    time.after(
-        1_000,
-        () -> {
-          if (lives.getAsBoolean()) {
-            done.accept(answer);
-          }
-        });
+      Consumer<Runnable> process) {
+    time.after(1_000, () -> process.accept(() -> done.accept(answer)));
   }
 
   private void arrive(String address, FunctionCall call, Consumer<PooledHttpClient.Answer> answer) {
     var instance = byAddress.get(address);
     if (instance == null || !instance.alive() || time.nowUs < instance.upUs) {
       answer.accept(answer(Fate.NOT_SENT, 0, Map.of()));
-    } else if (instance.calls >= slots) {
+      return;
+    }
+    checker.arrives(call, time.nowUs);
+    if (instance.calls >= slots) {
       overLimit++;
       answer.accept(answer(Fate.ANSWERED, 503, Map.of("not-run", "1")));
     } else {
--- a/src/test/java/wellwheel/transport/LinksTest.java
+++ b/src/test/java/wellwheel/transport/LinksTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -31,6 +33,7 @@
   private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> unsent = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> down = new LinkedBlockingQueue<>();
+  private volatile long lastDelayUs;
   private int port;
   private Links links;
 
@@ -53,6 +56,11 @@
       return this;
     }
 
+    Peer says(int stamp, Frame frame) throws IOException {
+      out.write(ByteBufUtil.getBytes(WireFormat.stamped(stamp, frame.pack())));
+      return this;
+    }
+
     void saysIfOpen(Frame frame) {
       try {
         says(frame);
@@ -62,9 +70,13 @@
     }
 
     Frame hears() throws IOException {
+      return Frame.unpack(hearsBytes());
+    }
+
+    byte[] hearsBytes() throws IOException {
       var bytes = new byte[in.readInt()];
       in.readFully(bytes);
-      return Frame.unpack(bytes);
+      return bytes;
     }
 
     /** Hears the greeting of a connection, without an answer to it. */
@@ -109,6 +121,7 @@
         new Network.MessageHandler() {
           @Override
           public void onFrame(String peerIp, Frame frame) {
+            lastDelayUs = frame.delayUs();
             heard.add(peerIp + " " + frame.kind());
           }
 
@@ -311,4 +324,54 @@
       }
     }
   }
+
+  /** Guards against times in a frame that are taken as if it had just been sent. */
+  @Test
+  void aFrameTellsHowLongItWasHeld() throws Exception {
+    var sinceGreetingUs = 3_000_000;
+    try (var peer = peer(FIRST, 1)) {
+      peer.says(TransitDelay.stampOf(sinceGreetingUs), Frame.of("prompt"));
+      assertThat(next()).isEqualTo(PEER + " prompt");
+      assertThat(lastDelayUs).isEqualTo(0);
+      peer.says(TransitDelay.stampOf(sinceGreetingUs - 2_000_000), Frame.of("held"));
+      assertThat(next()).isEqualTo(PEER + " held");
+      assertThat(lastDelayUs).isAtLeast(1_999_000);
+      peer.says(Frame.of("beside"));
+      assertThat(next()).isEqualTo(PEER + " beside");
+      assertThat(lastDelayUs).isAtLeast(1_999_000);
+    }
+  }
+
+  @Test
+  void whoUnderstandsStampsGetsThemAndTheOthersDoNot() throws Exception {
+    try (var server = new ServerSocket(port, 10, InetAddress.getByName(THERE))) {
+      for (var understands : List.of(true, false)) {
+        links.send(THERE, Frame.of("a"));
+        try (var peer = new Peer(server.accept())) {
+          peer.hearsHello();
+          peer.says(Frame.of("pong").with("st", understands));
+          var bytes = Unpooled.wrappedBuffer(peer.hearsBytes());
+          assertThat(WireFormat.readStamp(bytes).isPresent()).isEqualTo(understands);
+          assertThat(WireFormat.readFrame(bytes).kind()).isEqualTo("a");
+        }
+        assertThat(down.poll(10, TimeUnit.SECONDS)).isEqualTo(THERE);
+      }
+    }
+  }
+
+  /** Guards against times in a frame that has waited for its peer's greeting. */
+  @Test
+  void whatHasWaitedForTheGreetingTellsIt() throws Exception {
+    try (var server = new ServerSocket(port, 10, InetAddress.getByName(THERE))) {
+      links.send(THERE, Frame.of("a"));
+      try (var peer = new Peer(server.accept())) {
+        peer.hearsHello();
+        var waitedUs = 50_000;
+        GROUP.next().schedule(() -> {}, waitedUs, TimeUnit.MICROSECONDS).get();
+        peer.says(Frame.of("pong").with("st", true));
+        var stamp = WireFormat.readStamp(Unpooled.wrappedBuffer(peer.hearsBytes()));
+        assertThat(stamp.getAsInt()).isAtMost(0);
+      }
+    }
+  }
 }
