An owner begins a call only while its front wants it (held calls)

Cause: an owner began what it had whenever it could, whether its front had closed the connection, gone on without it or started anew.

Why it works: a call begins only within half a second of its front's last word that it wants it, counted from when that word was sent; else the front is asked.

A pool has one timer now, where each look at it had set another one.

--- a/src/main/java/wellwheel/functions/FrontNode.java
+++ b/src/main/java/wellwheel/functions/FrontNode.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import wellwheel.admission.RequestAdmission;
 import wellwheel.cluster.ClusterLease;
@@ -132,7 +133,7 @@
 
     @Override
     public void own(FunctionPool.CallKey key, FunctionCall call, Consumer<CallOutcome> done) {
-      FrontNode.this.own(key, call, done);
+      FrontNode.this.own(key, call, FunctionPool.ALWAYS_WANTED_US, done);
     }
 
     @Override
@@ -151,7 +152,8 @@
     return nowUs - downUs.getOrDefault(ip, Long.MIN_VALUE / 2) > DOWN_US;
   }
 
-  private void own(FunctionPool.CallKey key, FunctionCall call, Consumer<CallOutcome> done) {
+  private void own(
+      FunctionPool.CallKey key, FunctionCall call, long wantedUs, Consumer<CallOutcome> done) {
     if (refusing) {
       done.accept(new CallOutcome.Moved());
       return;
@@ -174,6 +176,7 @@
     pool.submit(
         key,
         call,
+        wantedUs,
         outcome -> {
           owned--;
           done.accept(outcome);
@@ -213,14 +216,15 @@
     }
 
     @Override
-    public void pumpAt(FunctionPool pool, long atUs) {
-      clock.after(
-          Math.max(1_000, atUs - clock.steadyUs()),
-          () -> {
-            synchronized (FrontNode.this) {
-              pool.pump();
-            }
-          });
+    public void check(String frontIp, CallCheck check) {
+      network.send(frontIp, check.toFrame());
+    }
+
+    @Override
+    public void run(Runnable task) {
+      synchronized (FrontNode.this) {
+        task.run();
+      }
     }
   }
 
@@ -244,12 +248,13 @@
     downUs.remove(from);
     switch (frame.kind()) {
       case "claim.ok", "claim.no", "news" -> clusterLease.onFrame(from, frame);
-      case FunctionCall.KIND -> {
-        var number = frame.number("rid");
-        own(
-            new FunctionPool.CallKey(from, number),
-            FunctionCall.read(frame),
-            outcome -> network.send(from, outcome.toFrame(number)));
+      case FunctionCall.KIND -> ownFor(from, frame);
+      case CallCheck.KIND ->
+          network.send(from, passed.check(from, CallCheck.read(frame)).toFrame());
+      case CallCheck.Answer.KIND -> {
+        var answer = CallCheck.Answer.read(frame);
+        Optional.ofNullable(pools.get(answer.service()))
+            .ifPresent(pool -> pool.confirm(from, answer, sentUs(frame)));
       }
       case CallWithdrawal.KIND ->
           withdraw(new FunctionPool.CallKey(from, CallWithdrawal.read(frame).requestNumber()));
@@ -260,6 +265,21 @@
     }
   }
 
+  /** Takes a call that another front passes on. A peer of the former version answers no checks. */
+  private void ownFor(String frontIp, Frame frame) {
+    var number = frame.number("rid");
+    own(
+        new FunctionPool.CallKey(frontIp, number),
+        FunctionCall.read(frame),
+        frame.delayKnown() ? sentUs(frame) : FunctionPool.ALWAYS_WANTED_US,
+        outcome -> network.send(frontIp, outcome.toFrame(number)));
+  }
+
+  /** Steady time of this node at which a frame was sent, as far as its delay shows. */
+  private long sentUs(Frame frame) {
+    return clock.steadyUs() - frame.delayUs();
+  }
+
   /** Takes a newer table. That of a new leader is answered by a report, as it knows nothing yet. */
   private void take(OwnerTable fresh) {
     if (fresh.version() <= table.version()) {
--- a/src/main/java/wellwheel/functions/FunctionPool.java
+++ b/src/main/java/wellwheel/functions/FunctionPool.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import wellwheel.runtime.Clock;
 import wellwheel.runtime.ResultCode;
+import wellwheel.runtime.WakeUpTimer;
 import wellwheel.transport.Exchange;
 import wellwheel.transport.Frame;
 import wellwheel.transport.PooledHttpClient;
@@ -22,7 +23,16 @@
  * that it may send them to. No instance gets more calls at once than it has slots.
  */
 final class FunctionPool {
+  /** The front of such a call is at hand, or answers no checks: it always wants the call. */
+  static final long ALWAYS_WANTED_US = Long.MAX_VALUE / 2;
+
   private static final int WAITING_MOST = 512;
+
+  /** A call begins only within this time of its front's last word that it wants it. */
+  private static final long WANTED_US = 500_000;
+
+  private static final long CHECK_AGAIN_US = 250_000;
+  private static final int CHECKS_MOST = 32;
   private static final long TRY_AGAIN_US = 25_000;
   private static final long FULL_REST_US = 20_000;
   private static final long DOUBT_REST_US = 100_000;
@@ -44,8 +54,11 @@
     /** Tells the scaler soon how the pool stands. */
     void report();
 
-    /** Calls {@link #pump} of the pool at a steady time, in microseconds. */
-    void pumpAt(FunctionPool pool, long atUs);
+    /** Asks a front which of its calls it still wants; {@link #confirm} takes the answer. */
+    void check(String frontIp, CallCheck check);
+
+    /** Runs a timer's task as the node runs everything else, one at a time. */
+    void run(Runnable task);
   }
 
   /** Names a call: the front that passed it on, and the front's number for it. */
@@ -57,12 +70,28 @@
     final long untilUs;
     final Consumer<CallOutcome> done;
 
-    Waiting(CallKey key, FunctionCall call, long untilUs, Consumer<CallOutcome> done) {
+    /** Steady time at which the front last said that it wants the call. */
+    long wantedUs;
+
+    /** Steady time at which the front was last asked. */
+    long checkedUs = Long.MIN_VALUE / 2;
+
+    Waiting(
+        CallKey key, FunctionCall call, long wantedUs, long untilUs, Consumer<CallOutcome> done) {
       this.key = key;
       this.call = call;
+      this.wantedUs = wantedUs;
       this.untilUs = untilUs;
       this.done = done;
     }
+
+    boolean isWanted(long nowUs) {
+      return nowUs - wantedUs <= WANTED_US;
+    }
+
+    boolean isOutOfTime(long nowUs) {
+      return untilUs - nowUs < LEAST_LEFT_US;
+    }
   }
 
   private final String service;
@@ -75,6 +104,7 @@
   /** Calls that wait or run here. */
   private final Set<CallKey> open = new HashSet<>();
 
+  private final WakeUpTimer pumps;
   private int waiting;
   private int running;
   private long arrivals;
@@ -88,6 +118,7 @@
     this.clock = clock;
     this.client = client;
     this.host = host;
+    pumps = new WakeUpTimer(clock, () -> host.run(this::pump));
   }
 
   /** Sets the bounds of one instance: calls at once, and connections. */
@@ -111,7 +142,12 @@
     return open.contains(key);
   }
 
-  void submit(CallKey key, FunctionCall call, Consumer<CallOutcome> whenDone) {
+  /**
+   * Takes a call.
+   *
+   * @param wantedUs steady time at which the front sent it
+   */
+  void submit(CallKey key, FunctionCall call, long wantedUs, Consumer<CallOutcome> whenDone) {
     open.add(key);
     Consumer<CallOutcome> done =
         outcome -> {
@@ -123,7 +159,7 @@
       done.accept(new CallOutcome.Ended(ResultCode.NO_INSTANCE));
       return;
     }
-    enqueue(new Waiting(key, call, clock.steadyUs() + call.leftUs(), done), false);
+    enqueue(new Waiting(key, call, wantedUs, clock.steadyUs() + call.leftUs(), done), false);
     pump();
   }
 
@@ -153,7 +189,20 @@
         }
         return;
       }
-      next(nowUs).ifPresent(each -> start(each, instance.get(), nowUs));
+      var next = next(nowUs);
+      if (next.isEmpty()) {
+        pumps.by(nowUs + CHECK_AGAIN_US);
+        return;
+      }
+      startOrGiveUp(next.get(), instance.get(), nowUs);
+    }
+  }
+
+  private void startOrGiveUp(Waiting each, Instance instance, long nowUs) {
+    if (each.isOutOfTime(nowUs)) {
+      giveUp(each);
+    } else {
+      start(each, instance, nowUs);
     }
   }
 
@@ -171,27 +220,64 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * Takes the first call that can begin or is out of time. The fronts of those that are passed over
+   * are asked whether they still want them.
+   */
   private Optional<Waiting> next(long nowUs) {
+    var unsure = new ArrayList<Waiting>();
+    var found = find(nowUs, unsure);
+    check(unsure, nowUs);
+    return found;
+  }
+
+  private Optional<Waiting> find(long nowUs, List<Waiting> unsure) {
     for (var queue : waitingByRank.values()) {
-      var each = queue.pollFirst();
-      if (each == null) {
-        continue;
-      }
-      waiting--;
-      if (each.untilUs - nowUs < LEAST_LEFT_US) {
-        giveUp(each);
-        return Optional.empty();
+      for (Iterator<Waiting> all = queue.iterator();
+          all.hasNext() && unsure.size() < CHECKS_MOST; ) {
+        var each = all.next();
+        if (each.isWanted(nowUs) || each.isOutOfTime(nowUs)) {
+          all.remove();
+          waiting--;
+          return Optional.of(each);
+        }
+        unsure.add(each);
       }
-      return Optional.of(each);
     }
     return Optional.empty();
   }
 
+  private void check(List<Waiting> unsure, long nowUs) {
+    var numbersByFront = new LinkedHashMap<String, List<Long>>();
+    for (var each : unsure) {
+      if (nowUs - each.checkedUs >= CHECK_AGAIN_US) {
+        each.checkedUs = nowUs;
+        numbersByFront
+            .computeIfAbsent(each.key.frontIp(), ip -> new ArrayList<>())
+            .add(each.key.number());
+      }
+    }
+    numbersByFront.forEach((ip, numbers) -> host.check(ip, new CallCheck(service, numbers)));
+  }
+
+  /** Takes a front's word, said at a steady time, on calls that wait here. */
+  void confirm(String frontIp, CallCheck.Answer answer, long saidUs) {
+    for (var queue : waitingByRank.values()) {
+      for (var each : queue) {
+        if (each.key.frontIp().equals(frontIp) && answer.wanted().contains(each.key.number())) {
+          each.wantedUs = Math.max(each.wantedUs, saidUs);
+        }
+      }
+    }
+    answer.unwanted().forEach(number -> withdraw(new CallKey(frontIp, number)));
+    pump();
+  }
+
   private void expire(long nowUs) {
     for (var queue : waitingByRank.values()) {
       for (Iterator<Waiting> all = queue.iterator(); all.hasNext(); ) {
         var each = all.next();
-        if (each.untilUs - nowUs < LEAST_LEFT_US) {
+        if (each.isOutOfTime(nowUs)) {
           all.remove();
           waiting--;
           giveUp(each);
@@ -242,7 +328,7 @@
       }
     }
     if (soonest < Long.MAX_VALUE) {
-      host.pumpAt(this, soonest);
+      pumps.by(soonest);
     }
   }
 
--- a/src/main/java/wellwheel/functions/PassedCalls.java
+++ b/src/main/java/wellwheel/functions/PassedCalls.java
@@ -33,7 +33,7 @@
     /** The address of the owner to take the next call of a function; empty if there is none. */
     String choose(String service);
 
-    /** Takes a call that this node owns. */
+    /** Takes a call of this front that this node owns. */
     void own(FunctionPool.CallKey key, FunctionCall call, Consumer<CallOutcome> done);
 
     /** Ends a call that waits at this node as its owner. */
@@ -238,6 +238,18 @@
     }
   }
 
+  /** Tells an owner which of its calls it is still to begin. */
+  CallCheck.Answer check(String ownerIp, CallCheck check) {
+    var wanted = new ArrayList<Long>();
+    var unwanted = new ArrayList<Long>();
+    for (var number : check.requestNumbers()) {
+      var isHere =
+          Optional.ofNullable(open.get(number)).filter(each -> each.ownerIp.equals(ownerIp));
+      (isHere.isPresent() ? wanted : unwanted).add(number);
+    }
+    return new CallCheck.Answer(check.service(), wanted, unwanted);
+  }
+
   /** An owner cannot be reached any more. */
   void lost(String ownerIp) {
     for (var entry : List.copyOf(open.entrySet())) {
