A call of a lost owner is sent again within the budget of retries

What callers saw: safe calls whose owner was lost went to second processors whether or not the budget that all nodes hold in common had anything left.

Cause: owners asked the budget, fronts that passed a call on did not.

Why it works: the front takes a retry from its own part of the budget; the parts add up to the whole whoever takes them.

--- a/src/main/java/wellwheel/functions/FrontNode.java
+++ b/src/main/java/wellwheel/functions/FrontNode.java
@@ -136,12 +136,21 @@
       FrontNode.this.own(key, call, FunctionPool.ALWAYS_WANTED_US, done);
     }
 
+    @Override
+    public boolean retry() {
+      return FrontNode.this.retry();
+    }
+
     @Override
     public void withdraw(FunctionPool.CallKey key) {
       FrontNode.this.withdraw(key);
     }
   }
 
+  private boolean retry() {
+    return retries.take(clock.steadyUs(), Math.max(1, owners().owners().size()));
+  }
+
   private OwnerTable owners() {
     return table.owners().isEmpty()
         ? new OwnerTable(0, clusterLease.view().members("edge"), Map.of())
@@ -200,7 +209,7 @@
   private final class PoolHost implements FunctionPool.Host {
     @Override
     public boolean retry() {
-      return retries.take(clock.steadyUs(), Math.max(1, owners().owners().size()));
+      return FrontNode.this.retry();
     }
 
     @Override
--- a/src/main/java/wellwheel/functions/PassedCalls.java
+++ b/src/main/java/wellwheel/functions/PassedCalls.java
@@ -36,6 +36,9 @@
     /** Takes a call of this front that this node owns. */
     void own(FunctionPool.CallKey key, FunctionCall call, Consumer<CallOutcome> done);
 
+    /** Takes one retry from this node's budget, if there is one left. */
+    boolean retry();
+
     /** Ends a call that waits at this node as its owner. */
     void withdraw(FunctionPool.CallKey key);
   }
@@ -206,10 +209,17 @@
   }
 
   /**
-   * An owner that cannot be reached may have sent the call to an instance: that counts as a try.
+   * An owner that cannot be reached may have sent the call to an instance: that counts as a try,
+   * and a further one needs the budget of retries, as it does at an owner.
    */
   private void lost(long number, PassedCall each) {
-    again(number, each, new CallOutcome.Tried(true));
+    var tried = new CallOutcome.Tried(true);
+    var allowed = each.triesLeft > 1 && each.call.repeatable() && owners.retry();
+    if (allowed) {
+      again(number, each, tried);
+    } else {
+      end(number, tried.last());
+    }
   }
 
   private void again(long number, PassedCall each, CallOutcome.Tried tried) {
--- a/src/test/java/wellwheel/functions/FunctionsModelTest.java
+++ b/src/test/java/wellwheel/functions/FunctionsModelTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import wellwheel.transport.ModelLinks;
@@ -234,6 +236,32 @@
     }
   }
 
+  /** Guards against calls that are passed on, after the loss of an owner, beyond the budget. */
+  @ParameterizedTest
+  @ValueSource(longs = {121, 122, 123, 124, 125, 126})
+  void callsOfLostOwnersAreSentAgainWithinTheBudgetOfAllNodes(long seed) throws Exception {
+    var world = new FunctionsWorld(seed, 12);
+    world.platform.workUs = 1_200_000;
+    world.time.runFor(2 * SECOND);
+    world.call(150, 30 * SECOND);
+    world.time.runFor(4 * SECOND);
+    for (var round = 0; round < 6; round++) {
+      var ips = new ArrayList<>(world.frontIps());
+      Collections.shuffle(ips, world.random);
+      var lost = ips.subList(0, 4);
+      lost.forEach(world::kill);
+      world.time.runFor(1_500_000);
+      for (var ip : lost) {
+        world.boot(ip);
+      }
+      world.time.runFor(2 * SECOND);
+    }
+    settleAndCheck(world);
+    assertThat(world.checker.sentAgain()).isAtLeast(40);
+    world.checker.assertWithinBudget(
+        FunctionsWorld.RETRY_RATIO, FunctionsWorld.EXTRA_RETRIES, FunctionsWorld.RETRY_WINDOW_US);
+  }
+
   /** Guards against calls that run though their clients have closed while they waited. */
   @ParameterizedTest
   @ValueSource(longs = {91, 92, 93, 94})
--- a/src/test/java/wellwheel/functions/FunctionsWorld.java
+++ b/src/test/java/wellwheel/functions/FunctionsWorld.java
@@ -25,6 +25,12 @@
 /** Fronts, scalers and a platform in simulated time, with the calls of clients and their ends. */
 final class FunctionsWorld {
   static final long SECOND = 1_000_000;
+  static final double RETRY_RATIO = 0.05;
+  static final int EXTRA_RETRIES = 24;
+
+  /** The default of the options. */
+  static final long RETRY_WINDOW_US = 10 * SECOND;
+
   private static final int SERVICES = 12;
   private static final int SLOTS = 2;
   private static final int LEFT_MS = 4_000;
@@ -164,7 +170,11 @@
                   + ip
                   + "\",\"Ip\":\""
                   + ip
-                  + "\",\"Zone\":\"z\",\"ListenOn\":{},\"InternalPorts\":[7100,7115],\"SeedNodes\":[\"10.1.0.1:1\",\"10.1.0.2:1\"],\"Rollout\":\"functions\",\"Timing\":{\"RetryRatio\":0.2,\"ExtraRetries\":50}}");
+                  + "\",\"Zone\":\"z\",\"ListenOn\":{},\"InternalPorts\":[7100,7115],\"SeedNodes\":[\"10.1.0.1:1\",\"10.1.0.2:1\"],\"Rollout\":\"functions\",\"Timing\":{\"RetryRatio\":"
+                  + RETRY_RATIO
+                  + ",\"ExtraRetries\":"
+                  + EXTRA_RETRIES
+                  + "}}");
       node =
           new FrontNode(
               options,
--- a/src/test/java/wellwheel/functions/SimulatedPlatform.java
+++ b/src/test/java/wellwheel/functions/SimulatedPlatform.java
@@ -20,6 +20,7 @@
   private static final long LAG_US = 800_000;
   private static final long STARTUP_US = 300_000;
   private static final long CALL_US = 2_000;
+  private static final int WORK_SPREAD_US = 100_000;
 
   /** One instance and the calls that it runs. */
   static final class Running {
@@ -55,6 +56,10 @@
   private List<Platform.Listed> listed = List.of();
   private int lastNumber;
   double lostAnswers;
+
+  /** How long an instance works on a call at least. */
+  long workUs = 50_000;
+
   final Map<String, Integer> runs = new HashMap<>();
   int overLimit;
   int started;
@@ -202,7 +207,7 @@
       instance.calls++;
       runs.merge(call.attemptId(), 1, Integer::sum);
       time.after(
-          50_000 + random.nextInt(100_000),
+          workUs + random.nextInt(WORK_SPREAD_US),
           () -> {
             instance.calls--;
             var lost = instance.crashed && !instance.draining;
