The budget of retries remembers its whole window

What callers saw: two full budgets of retries a little over nine seconds apart, where a window of ten seconds allows one.

Cause: retries were counted in steps of a tenth of the window and the step that the window begins in was forgotten as a whole.

Evidence: FunctionPartsTest.noWindowSeesTheBudgetTwice failed before (30, not 0).

Why it works: retries are kept for one step longer; the calls that allow them are still counted over the window alone.

--- a/src/main/java/wellwheel/functions/RetryBudget.java
+++ b/src/main/java/wellwheel/functions/RetryBudget.java
@@ -6,11 +6,15 @@
  */
 final class RetryBudget {
   private static final int STEPS = 10;
+
+  /** The window begins inside a step, which is remembered as a whole. */
+  private static final int KEPT = STEPS + 1;
+
   private final long stepUs;
   private final double ratio;
   private final double slack;
-  private final long[] calls = new long[STEPS];
-  private final long[] retries = new long[STEPS];
+  private final long[] calls = new long[KEPT];
+  private final long[] retries = new long[KEPT];
   private long step;
 
   RetryBudget(long windowUs, double ratio, double slack) {
@@ -21,20 +25,24 @@
 
   void called(long nowUs) {
     advance(nowUs);
-    calls[(int) (step % STEPS)]++;
+    calls[at(step)]++;
   }
 
   /** Takes one retry, if the budget has one left. */
   boolean take(long nowUs, int nodes) {
     advance(nowUs);
-    var called = sum(calls);
+    var called = sum(calls) - calls[at(step - STEPS)];
     if (sum(retries) + 1 > ratio * called + slack / Math.max(1, nodes)) {
       return false;
     }
-    retries[(int) (step % STEPS)]++;
+    retries[at(step)]++;
     return true;
   }
 
+  private static int at(long step) {
+    return Math.floorMod(step, KEPT);
+  }
+
   private static long sum(long[] counts) {
     var total = 0L;
     for (var count : counts) {
@@ -45,13 +53,13 @@
 
   private void advance(long nowUs) {
     var now = nowUs / stepUs;
-    if (now - step > STEPS) {
-      step = now - STEPS;
+    if (now - step > KEPT) {
+      step = now - KEPT;
     }
     while (step < now) {
       step++;
-      calls[(int) (step % STEPS)] = 0;
-      retries[(int) (step % STEPS)] = 0;
+      calls[at(step)] = 0;
+      retries[at(step)] = 0;
     }
   }
 }
--- a/src/test/java/wellwheel/functions/FunctionPartsTest.java
+++ b/src/test/java/wellwheel/functions/FunctionPartsTest.java
@@ -71,6 +71,25 @@
     assertThat(taken).isAtLeast((int) (0.2 * calls));
   }
 
+  /** Guards against retries that are forgotten while a part of their second is in the window. */
+  @Test
+  void noWindowSeesTheBudgetTwice() {
+    var budget = new RetryBudget(10_000_000, 0.2, 30);
+    var early = takeAll(budget, 990_000);
+    var late = takeAll(budget, 10_010_000);
+    assertThat(early).isEqualTo(30);
+    assertThat(late).isEqualTo(0);
+    assertThat(takeAll(budget, 12_000_000)).isEqualTo(30);
+  }
+
+  private static int takeAll(RetryBudget budget, long nowUs) {
+    var taken = 0;
+    while (budget.take(nowUs, 1)) {
+      taken++;
+    }
+    return taken;
+  }
+
   @Test
   void onePieceOfWorkGetsOneInstanceAndNoneStaysForNobody() {
     var shape = new ScalingPolicy.Shape(1, 300_000);
