A held answer does not move the core's time

What callers saw: delays, leases and limits count in the core's time, and a node whose lease was answered late by 4 s was wrong by 2 s until the next answer.

Cause: the middle between question and answer was taken however far apart they were; followers took the leader's time as of when they heard it.

Why it works: question and answer bound the offset of the clocks, and what is known stays where it agrees with them; a follower adds the frame's delay.

--- a/src/main/java/wellwheel/cluster/ClusterLease.java
+++ b/src/main/java/wellwheel/cluster/ClusterLease.java
@@ -133,19 +133,29 @@
   }
 
   private void confirm(String from, Frame frame) {
-    var nowUs = clock.steadyUs();
     confirmedUs = frame.number("sent");
     answered = true;
     if (!control().equals(from)) {
       redirect(from, from);
       answered = true;
     }
-    var offsetUs = frame.number("core") + (nowUs - confirmedUs) / 2 - nowUs;
-    coreOffsetUs = offsetUs;
-    coreKnown = true;
+    hearCoreTime(frame.number("core"), confirmedUs);
     controlNodes.votersAre(frame.texts("voters"));
   }
 
+  /**
+   * Takes the core's time in an answer, which was made at some moment since the question. What is
+   * known already stays where it agrees with that, so that a late answer does not shift it.
+   */
+  private void hearCoreTime(long answeredCoreUs, long askedUs) {
+    var leastUs = answeredCoreUs - clock.steadyUs();
+    var mostUs = answeredCoreUs - askedUs;
+    if (!coreKnown || coreOffsetUs < leastUs || coreOffsetUs > mostUs) {
+      coreOffsetUs = (leastUs + mostUs) / 2;
+      coreKnown = true;
+    }
+  }
+
   /** Takes the seeds of a changed options file in place of the former ones. */
   public void seedsAre(List<String> ips) {
     controlNodes.seedsAre(ips);
--- a/src/main/java/wellwheel/consensus/Raft.java
+++ b/src/main/java/wellwheel/consensus/Raft.java
@@ -956,7 +956,7 @@
     }
     heardLeaderUs = clock.steadyUs();
     resetElection();
-    host.hearCore(frame.number("core"));
+    host.hearCore(frame.number("core") + frame.delayUs());
     learners = frame.texts("learners").stream().limit(LEARNERS_MOST).toList();
     return true;
   }
--- a/src/test/java/wellwheel/consensus/RaftJournalTest.java
+++ b/src/test/java/wellwheel/consensus/RaftJournalTest.java
@@ -19,6 +19,8 @@
   private static final int TERMS = 30;
 
   static final class Quiet implements Raft.Host {
+    private long heardCoreUs;
+
     @Override
     public void apply(long index, byte[] command) {}
 
@@ -42,7 +44,9 @@
     }
 
     @Override
-    public void hearCore(long coreUs) {}
+    public void hearCore(long coreUs) {
+      heardCoreUs = coreUs;
+    }
   }
 
   private static final Clock STILL =
@@ -67,16 +71,12 @@
   private final MemoryDisk disk = new MemoryDisk();
 
   private Raft raft(boolean firstBoot) {
+    return raft(firstBoot, new Quiet());
+  }
+
+  private Raft raft(boolean firstBoot, Quiet host) {
     return new Raft(
-        SEEDS.get(0),
-        SEEDS,
-        3,
-        firstBoot,
-        STILL,
-        (ip, frame) -> sent.add(frame),
-        disk,
-        new Quiet(),
-        1);
+        SEEDS.get(0), SEEDS, 3, firstBoot, STILL, (ip, frame) -> sent.add(frame), disk, host, 1);
   }
 
   private boolean votes(Raft raft, String candidate, long term) {
@@ -107,6 +107,17 @@
     return SEEDS.get(candidate.equals(SEEDS.get(1)) ? 2 : 1);
   }
 
+  /** Guards against a core's time that goes back where the last word of a leader was held. */
+  @Test
+  void theCoresTimeCountsWhatALeadersWordTookOnItsWay() {
+    var host = new Quiet();
+    raft(true, host)
+        .onFrame(
+            SEEDS.get(1),
+            Frame.of("raft.beat").with("term", 1).with("core", 70_000_000).delayedBy(4_000_000));
+    assertThat(host.heardCoreUs).isEqualTo(74_000_000);
+  }
+
   @Test
   void noTermGetsASecondVoteWhereverTheJournalIsDamagedBeforeItsLastRecord() {
     var voted = grown();
--- a/src/test/java/wellwheel/control/ControlWorld.java
+++ b/src/test/java/wellwheel/control/ControlWorld.java
@@ -71,6 +71,8 @@
 
   private record Held(String stream, int life, Runnable task) {}
 
+  private static final long LEAST_DELAY_US = 300;
+
   private record Sent(int fromLife, int toLife, byte[] bytes, long atUs) {}
 
   private static final class Link {
@@ -520,7 +522,9 @@
   }
 
   private long delayUs() {
-    return 300 + random.nextInt(900) + (random.nextInt(400) == 0 ? random.nextInt(30_000) : 0);
+    return LEAST_DELAY_US
+        + random.nextInt(900)
+        + (random.nextInt(400) == 0 ? random.nextInt(30_000) : 0);
   }
 
   private void carry(Link link, Sent sent, Frame frame) {
@@ -587,7 +591,11 @@
     link.to.awake(
         sent.toLife(),
         "link:" + link.from.ip,
-        () -> link.to.hear(link.from.ip, Frame.unpack(sent.bytes())));
+        () -> link.to.hear(link.from.ip, Frame.unpack(sent.bytes()).delayedBy(heldUs(sent))));
+  }
+
+  private long heldUs(Sent sent) {
+    return Math.max(0, nowUs - sent.atUs() - LEAST_DELAY_US);
   }
 
   void at(long atUs, Runnable task) {
