A job that was held for most of its lease is given back

What callers saw: a worker behind a link that held its job began it with little of its lease left, or none; another one was given the job too, and the first one's end got 409.

Cause: the edge node could not tell how long the job had been on its way.

Evidence: EdgeNodeTest.aJobThatWasHeldForMostOfItsLeaseIsGivenBackAndThePullAsksAgain failed before (a job 2.9 s old under a lease of 3 s).

Why it works: the frame's delay is held against the lease; what is given back has not begun and costs no attempt.

--- a/src/main/java/wellwheel/edge/EdgeNode.java
+++ b/src/main/java/wellwheel/edge/EdgeNode.java
@@ -1010,13 +1010,12 @@
 
   private void onJob(String from, Frame frame) {
     var pull = pulls.get(frame.number("token"));
-    if (pull == null || !pull.exchange.open()) {
-      wire.send(
-          from,
-          Frame.of("giveback")
-              .with("line", frame.number("line"))
-              .with("id", frame.text("id"))
-              .with("lease", frame.text("lease")));
+    var held = frame.delayUs() > options.visibleUs() / 2;
+    if (pull == null || !pull.exchange.open() || held) {
+      giveJobBack(from, frame);
+      if (pull != null && pull.storageIp.equals(from)) {
+        assign(pull, from);
+      }
       return;
     }
     pulls.remove(pull.token);
@@ -1044,6 +1043,16 @@
     pull.exchange.answer(new Answer(ResultCode.FINE, headers, type, frame.bytes("body"), false));
   }
 
+  /** Nobody is to run the job under this lease: nobody waits, or most of the lease is over. */
+  private void giveJobBack(String storageIp, Frame job) {
+    wire.send(
+        storageIp,
+        Frame.of("giveback")
+            .with("line", job.number("line"))
+            .with("id", job.text("id"))
+            .with("lease", job.text("lease")));
+  }
+
   private static void addIfPresent(List<String> headers, String name, String value) {
     if (!value.isEmpty()) {
       headers.add(name);
--- a/src/main/java/wellwheel/queue/StorageNode.java
+++ b/src/main/java/wellwheel/queue/StorageNode.java
@@ -2494,7 +2494,7 @@
             new Dispatcher.Demand(
                 from,
                 each.number("t"),
-                nowUs + each.number("w") - 20_000,
+                nowUs + frame.remainingUs(each.number("w")) - 20_000,
                 frame.text("zone").equals(options.zone()),
                 each.text("s"),
                 each.text("r"));
--- a/src/test/java/wellwheel/edge/EdgeNodeTest.java
+++ b/src/test/java/wellwheel/edge/EdgeNodeTest.java
@@ -326,4 +326,34 @@
     assertThat(end.statuses()).containsExactly(503);
     assertThat(node.idle()).isTrue();
   }
+
+  private Client pull(EdgeNode node) {
+    var client = new Client("POST", "/pull/s", Map.of("Wait-Ms", "9000", "Server-Id", "w"));
+    node.onExchange(client);
+    return client;
+  }
+
+  private static Frame job(Frame demand) {
+    return Frame.of("job")
+        .with("token", demand.frames("tokens").get(0).number("t"))
+        .with("line", 1)
+        .with("id", "m1")
+        .with("lease", "1.1.1")
+        .with("method", "POST")
+        .with("target", "/x");
+  }
+
+  /** Guards against workers that begin a job whose lease is nearly over, as a link held it. */
+  @Test
+  void aJobThatWasHeldForMostOfItsLeaseIsGivenBackAndThePullAsksAgain() throws Exception {
+    var node = edge(1);
+    var worker = pull(node);
+    var demand = asked("demand").get(0);
+    node.onFrame(demand.ip(), job(demand.frame()).delayedBy(2_900_000));
+    assertThat(worker.answers).isEmpty();
+    assertThat(asked("giveback").get(0).frame().text("lease")).isEqualTo("1.1.1");
+    assertThat(asked("demand")).hasSize(2);
+    node.onFrame(demand.ip(), job(demand.frame()).delayedBy(30_000));
+    assertThat(worker.statuses()).containsExactly(200);
+  }
 }
