A call that has its answer is withdrawn from the owner it was passed on to

What callers saw: a call answered by an owner that had been given up began once more at the next owner, or at the front itself, up to seconds after its answer.

Cause: the front forgot the call and left it with its present owner.

Why it works: the front withdraws the call there, and what waits is not begun.

--- a/src/main/java/wellwheel/functions/PassedCalls.java
+++ b/src/main/java/wellwheel/functions/PassedCalls.java
@@ -186,6 +186,14 @@
       again(number, each, tried);
     } else {
       end(number, outcome);
+      withdrawFromOther(ownerIp, number, each);
+    }
+  }
+
+  /** The call has its answer; an owner that it was passed on to meanwhile is not to begin it. */
+  private void withdrawFromOther(String answeredIp, long number, PassedCall each) {
+    if (!each.ownerIp.isEmpty() && !each.ownerIp.equals(answeredIp)) {
+      withdraw(number, each);
     }
   }
 
