An instance goes to its next owner once the former one has let it go

What callers saw: two owners handed out the same slots while a link to one of them held its list; instances turned calls away.

Cause: the new owner was told at once, the former one when its list came.

Why it works: no slot has two owners at any time; an owner names an instance in its reports until its last call there is over.

--- a/src/main/java/wellwheel/functions/FunctionPool.java
+++ b/src/main/java/wellwheel/functions/FunctionPool.java
@@ -355,8 +355,8 @@
       case UNKNOWN -> unknown(each, instance);
       case ANSWERED -> answered(each, instance, answer);
     }
-    if (instance.released && instance.running == 0) {
-      remove(instance);
+    if (instance.released) {
+      release(instance);
     }
     pump();
   }
@@ -409,9 +409,14 @@
     each.done.accept(allowed ? tried : tried.last());
   }
 
-  private void remove(Instance instance) {
-    instances.remove(instance.id, instance);
-    client.forget(instance.address);
+  /** Gives an instance no more calls, and tells when the last one on it is over. */
+  private void release(Instance instance) {
+    instance.released = true;
+    if (instance.running == 0) {
+      instances.remove(instance.id, instance);
+      client.forget(instance.address);
+      host.report();
+    }
   }
 
   /**
@@ -432,10 +437,7 @@
     }
     for (var instance : List.copyOf(instances.values())) {
       if (!ids.contains(instance.id)) {
-        instance.released = true;
-        if (instance.running == 0) {
-          remove(instance);
-        }
+        release(instance);
       }
     }
     pump();
@@ -445,7 +447,7 @@
   Frame row() {
     var rows = new ArrayList<Object>();
     for (var each : instances.values()) {
-      if (!each.released) {
+      if (!each.released || each.running > 0) {
         rows.add(
             new Frame()
                 .with("i", each.id)
--- a/src/main/java/wellwheel/functions/InstanceRegistry.java
+++ b/src/main/java/wellwheel/functions/InstanceRegistry.java
@@ -37,13 +37,20 @@
   List<ManagedInstance> of(String service, String owner) {
     var found = new ArrayList<ManagedInstance>();
     for (var each : byService.getOrDefault(service, Map.of()).values()) {
-      if (each.owner.equals(owner)) {
+      if (each.owner.equals(owner) && !each.moves()) {
         found.add(each);
       }
     }
     return found;
   }
 
+  /** How many instances of a function an owner gets once their owners have let them go. */
+  long awaited(String service, String owner) {
+    return byService.getOrDefault(service, Map.of()).values().stream()
+        .filter(each -> each.nextOwner.equals(owner))
+        .count();
+  }
+
   /** All instances, copied. */
   Collection<ManagedInstance> all() {
     var found = new ArrayList<ManagedInstance>();
@@ -101,6 +108,7 @@
     if (found.draining() && !known.owner.isEmpty()) {
       var owner = known.owner;
       known.owner = "";
+      known.nextOwner = "";
       drains.accept(new Drained(found.service(), owner));
     }
   }
--- a/src/main/java/wellwheel/functions/ManagedInstance.java
+++ b/src/main/java/wellwheel/functions/ManagedInstance.java
@@ -18,6 +18,9 @@
   /** Node that may hand out its slots; empty if none may. */
   String owner = "";
 
+  /** Node that gets it once its owner has let it go; empty if it is to stay. */
+  String nextOwner = "";
+
   /** Steady time at which it should be up. */
   final long upUs;
 
@@ -38,9 +41,18 @@
     this.idleSinceUs = nowUs;
   }
 
-  /** Takes it from an owner that is gone. What ran there is over, as far as anybody can know. */
+  /** Whether it is on its way from one owner to another one. */
+  boolean moves() {
+    return !nextOwner.isEmpty();
+  }
+
+  /**
+   * Takes it from an owner that is gone or has let it go. What ran there is over, as far as anybody
+   * can know.
+   */
   void free(long nowUs) {
-    owner = "";
+    owner = nextOwner;
+    nextOwner = "";
     running = 0;
     idleSinceUs = nowUs;
   }
--- a/src/main/java/wellwheel/functions/Scaler.java
+++ b/src/main/java/wellwheel/functions/Scaler.java
@@ -1,6 +1,5 @@
 package wellwheel.functions;
 
-import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -184,12 +183,20 @@
           lost.forEach(
               owner -> {
                 owners.remove(owner);
-                instances.of(service, owner).forEach(each -> each.free(nowUs));
+                freeAll(service, owner);
               });
         });
     demands.values().removeIf(Map::isEmpty);
   }
 
+  private void freeAll(String service, String owner) {
+    for (var each : List.copyOf(instances.of(service).values())) {
+      if (each.owner.equals(owner)) {
+        handOver(each);
+      }
+    }
+  }
+
   private void shareTable() {
     var owners = leadership.owners();
     var hot = hot(owners);
@@ -220,41 +227,14 @@
 
   /** How each function stands, as JSON for operators. */
   public synchronized JsonObject state() {
-    var nowUs = clock.steadyUs();
-    var rows = new JsonArray();
-    var byFunction = new TreeMap<String, List<ManagedInstance>>();
-    demands.keySet().forEach(service -> byFunction.put(service, new ArrayList<>()));
-    for (var each : instances.all()) {
-      byFunction.computeIfAbsent(each.service, key -> new ArrayList<>()).add(each);
-    }
-    byFunction.forEach(
-        (service, all) -> {
-          var owners = demands.getOrDefault(service, Map.of()).values();
-          var row = new JsonObject();
-          row.addProperty("Function", service);
-          row.addProperty("Instances", all.size());
-          row.addProperty("Starting", count(all, ManagedInstance.State.STARTING));
-          row.addProperty("Draining", count(all, ManagedInstance.State.DRAINING));
-          row.addProperty("Running", owners.stream().mapToInt(each -> each.running).sum());
-          row.addProperty("Waiting", owners.stream().mapToInt(each -> each.waiting).sum());
-          row.addProperty(
-              "PerS",
-              Math.round(owners.stream().mapToDouble(each -> each.perS(nowUs)).sum() * 10) / 10.0);
-          row.addProperty("Owners", owners.size());
-          rows.add(row);
-        });
     var root = new JsonObject();
-    root.add("Functions", rows);
+    root.add("Functions", FunctionsReport.rows(instances, demands, clock.steadyUs()));
     root.addProperty("Starts", orders.starts());
     root.addProperty("Stops", orders.stops());
     root.addProperty("Fence", term);
     return root;
   }
 
-  private static long count(List<ManagedInstance> all, ManagedInstance.State state) {
-    return all.stream().filter(each -> each.state == state).count();
-  }
-
   /** Takes a message of a front. */
   public synchronized void onFrame(String from, Frame frame) {
     if (frame.kind().equals(REPORT) && leads()) {
@@ -271,7 +251,7 @@
       network.send(from, table.toFrame());
     }
     for (var row : frame.frames("rows")) {
-      hear(owner, from, frame.text("zone"), row);
+      hear(owner, from, frame, row);
       if (listed) {
         decide(row.text("s"));
         reconcile(owner, row);
@@ -279,11 +259,11 @@
     }
   }
 
-  private void hear(String owner, String ip, String zone, Frame row) {
-    var nowUs = clock.steadyUs();
+  private void hear(String owner, String ip, Frame report, Frame row) {
+    var nowUs = clock.steadyUs() - report.delayUs();
     demands
         .computeIfAbsent(row.text("s"), key -> new LinkedHashMap<>())
-        .computeIfAbsent(owner, key -> new OwnerDemand(ip, zone, nowUs - TICK_US))
+        .computeIfAbsent(owner, key -> new OwnerDemand(ip, report.text("zone"), nowUs - TICK_US))
         .hear(
             row.small("w"),
             row.small("n"),
@@ -292,7 +272,9 @@
             row.number("b"),
             nowUs);
     var known = instances.of(row.text("s"));
+    var has = new HashSet<String>();
     for (var each : row.frames("is")) {
+      has.add(each.text("i"));
       var instance = known.get(each.text("i"));
       if (instance == null && !listed) {
         instance = adopted(owner, row.text("s"), each, nowUs);
@@ -309,6 +291,26 @@
             instance.running > 0 || each.small("c") > 0 ? nowUs : instance.idleSinceUs;
       }
     }
+    letGo(row, owner);
+  }
+
+  /** Instances that an owner has no more go to those for whom they were taken from it. */
+  private void letGo(Frame row, String owner) {
+    var has = row.frames("is").stream().map(each -> each.text("i")).toList();
+    for (var each : List.copyOf(instances.of(row.text("s")).values())) {
+      if (each.owner.equals(owner) && each.moves() && !has.contains(each.id)) {
+        handOver(each);
+      }
+    }
+  }
+
+  private void handOver(ManagedInstance each) {
+    each.free(clock.steadyUs());
+    if (mayOwn(each.owner)) {
+      tell(each.service, each.owner);
+    } else {
+      each.owner = "";
+    }
   }
 
   /** Whether every owner has told what it has since this node leads, or has had the time to. */
@@ -372,12 +374,12 @@
       if (!mayOwn(owner)) {
         continue;
       }
-      var has = instances.of(service, owner).size() + orders.pending(service, owner);
+      var has =
+          instances.of(service, owner).size()
+              + (int) instances.awaited(service, owner)
+              + orders.pending(service, owner);
       var wanted = ScalingPolicy.wanted(entry.getValue().figures(clock.steadyUs()), shape, has);
       var moved = move(service, owner, wanted - has, shape);
-      if (moved > 0) {
-        tell(service, owner);
-      }
       for (var count = has + moved; count < wanted; count++) {
         orders.start(
             service,
@@ -389,23 +391,31 @@
     }
   }
 
-  /** Gives up to so many instances that nobody needs to the owner. */
+  /**
+   * Gives up to so many instances that nobody needs to the owner. One that another owner has comes
+   * once that one has let it go, so that no slot is handed out twice.
+   */
   private int move(String service, String owner, int most, ScalingPolicy.Shape shape) {
     var moved = 0;
     for (var each : instances.of(service).values()) {
       if (moved < most && !each.owner.equals(owner) && isSpare(each, shape)) {
-        var former = each.owner;
-        each.owner = owner;
-        each.idleSinceUs = clock.steadyUs();
         moved++;
-        tell(service, former);
+        each.nextOwner = owner;
+        if (each.owner.isEmpty()) {
+          handOver(each);
+        } else {
+          tell(service, each.owner);
+        }
       }
     }
     return moved;
   }
 
   private boolean isSpare(ManagedInstance each, ScalingPolicy.Shape shape) {
-    if (each.running > 0 || each.state == ManagedInstance.State.DRAINING || !settled()) {
+    if (each.running > 0
+        || each.moves()
+        || each.state == ManagedInstance.State.DRAINING
+        || !settled()) {
       return false;
     }
     if (each.owner.isEmpty() || !mayOwn(each.owner)) {
@@ -449,6 +459,7 @@
   private boolean mayStop(
       ManagedInstance each, Optional<Configuration.Function> function, long nowUs) {
     if (each.running > 0
+        || each.moves()
         || each.state != ManagedInstance.State.READY
         || nowUs - Math.max(each.idleSinceUs, each.upUs) < keepAliveUs) {
       return false;
--- a/src/test/java/wellwheel/functions/FunctionsModelTest.java
+++ b/src/test/java/wellwheel/functions/FunctionsModelTest.java
@@ -5,7 +5,9 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import wellwheel.transport.ModelLinks;
 
@@ -192,9 +194,14 @@
     assertThat(playHeldLinks(seed).checker.givenTooLong).isEmpty();
   }
 
+  static LongStream goneOnSeeds() {
+    var span = System.getProperty("gone.seeds", "111-118").split("-");
+    return LongStream.rangeClosed(Long.parseLong(span[0]), Long.parseLong(span[1]));
+  }
+
   /** Guards against calls that begin long after their front has answered their clients. */
   @ParameterizedTest
-  @ValueSource(longs = {111, 112, 113, 114, 115, 116, 117, 118})
+  @MethodSource("goneOnSeeds")
   void whatItsFrontHasGoneOnWithoutDoesNotBegin(long seed) throws Exception {
     assertThat(playHeldLinks(seed).checker.begunTooLate).isEmpty();
   }
@@ -219,6 +226,32 @@
     return world;
   }
 
+  static LongStream heldSeeds() {
+    var span = System.getProperty("held.seeds", "131-136").split("-");
+    return LongStream.rangeClosed(Long.parseLong(span[0]), Long.parseLong(span[1]));
+  }
+
+  /** Guards against instances that two owners use, as a list of instances was held on its way. */
+  @ParameterizedTest
+  @MethodSource("heldSeeds")
+  void listsAndReportsThatWereHeldGiveNoSlotTwice(long seed) throws Exception {
+    var world = new FunctionsWorld(seed, 6);
+    world.time.runFor(2 * SECOND);
+    world.call(150, 30 * SECOND);
+    for (var round = 0; round < 20; round++) {
+      var ips = world.frontIps();
+      var front = ips.get(world.random.nextInt(ips.size()));
+      if (world.random.nextBoolean()) {
+        holdInSeries(world, "10.1.0.1", front);
+      } else {
+        holdInSeries(world, front, "10.1.0.1");
+      }
+      world.time.runFor(1_500_000);
+    }
+    settleAndCheck(world);
+    assertThat(world.platform.overLimit).isAtMost(5);
+  }
+
   /** Links hold what is sent, once for long or in a short series, one way or both. */
   private static void holdInSeries(FunctionsWorld world, String from, String to) {
     var series = world.random.nextBoolean();
