Model of hand-ins: links that hold what is sent and deliver it later

The simulated network holds links one way or both, for long or in a short series, tells how long frames were held, and gives peers up as the real links do; what cuts and holds links has a file of its own. HeldLinksTest plays it with frozen storage nodes under all checks of messages, and that no worker gets a job under a lease that another worker's had replaced.

--- a/src/main/java/wellwheel/simulation/World.java
+++ b/src/main/java/wellwheel/simulation/World.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -252,6 +251,9 @@
     }
   }
 
+  /** A greeting is awaited for so long. */
+  private static final long GREETING_US = 750_000;
+
   private final class SimWire implements Network {
     private final Host host;
     private final int life;
@@ -279,7 +281,7 @@
         crossBytes += bytes.length + 4;
         crossByKind.merge(frame.kind(), bytes.length + 4L, Long::sum);
       }
-      if (cut(host.ip, peerIp) || !peer.powered) {
+      if (linkFaults.isCut(host.ip, peerIp) || !peer.powered) {
         loseLater(peerIp, 750_000);
         return;
       }
@@ -291,28 +293,40 @@
       if (nowUs < peer.frozenUntilUs) {
         loseLater(peerIp, 750_000);
       }
-      var link = host.ip + ">" + peerIp;
+      if (linkFaults.isGivenUp(host.ip, peerIp)) {
+        at(nowUs + GREETING_US, () -> tell(handler -> handler.onUnsent(peerIp, frame)));
+        loseLater(peerIp, GREETING_US);
+        return;
+      }
+      linkFaults.awaitAnswer(host.ip, peerIp, () -> tell(handler -> handler.onDown(peerIp)));
+      carry(peer, bytes);
+    }
+
+    private void carry(Host peer, byte[] bytes) {
+      var link = host.ip + ">" + peer.ip;
       var peerLife = peer.life;
+      var sentUs = nowUs;
+      var transitUs = delayUs(host.zone, peer.zone);
+      var lateUs = host.role.equals("control") ? lagUs.getOrDefault(peer.ip, 0L) : 0;
       var atUs =
           Math.max(
-              linkFreeUs.getOrDefault(link, 0L),
-              nowUs
-                  + delayUs(host.zone, peer.zone)
-                  + (host.role.equals("control") ? lagUs.getOrDefault(peerIp, 0L) : 0));
+              Math.max(linkFreeUs.getOrDefault(link, 0L), nowUs + transitUs + lateUs),
+              linkFaults.heldUntilUs(host.ip, peer.ip) + transitUs);
       linkFreeUs.put(link, atUs);
       at(
           atUs,
           () -> {
-            if (!cut(host.ip, peerIp)) {
-              peer.awake(
-                  peerLife,
-                  () ->
-                      peer.handler()
-                          .ifPresent(handler -> handler.onFrame(host.ip, Frame.unpack(bytes))));
+            if (!linkFaults.isCut(host.ip, peer.ip)) {
+              peer.awake(peerLife, () -> hear(peer, bytes, nowUs - sentUs - transitUs));
             }
           });
     }
 
+    private void hear(Host peer, byte[] bytes, long delayUs) {
+      var frame = Frame.unpack(bytes).delayedBy(Math.max(0, delayUs));
+      peer.handler().ifPresent(handler -> handler.onFrame(host.ip, frame));
+    }
+
     private void loseLater(String peerIp, long waitUs) {
       at(nowUs + waitUs, () -> tell(handler -> handler.onDown(peerIp)));
     }
@@ -617,7 +631,7 @@
                   : Long.compare(a.turn(), b.turn()));
   private final Map<String, Host> hosts = new LinkedHashMap<>();
   private final Map<String, Long> linkFreeUs = new HashMap<>();
-  private final Set<String> cuts = new HashSet<>();
+  private final LinkFaults linkFaults = new LinkFaults(this::after, this::nowUs);
   private final Map<String, Long> lagUs = new HashMap<>();
   private final Set<Ask> openPulls = new java.util.LinkedHashSet<>();
   private Processors processors;
@@ -892,8 +906,7 @@
   }
 
   public void cutOff(Host host, long spanUs) {
-    cuts.add(host.ip);
-    after(spanUs, () -> cuts.remove(host.ip));
+    linkFaults.cutOff(host.ip, spanUs);
   }
 
   public void freeze(Host host, long spanUs) {
@@ -913,17 +926,12 @@
   }
 
   public void cutPair(Host one, Host other, long spanUs) {
-    var pair = one.ip + "|" + other.ip;
-    cuts.add(pair);
-    after(spanUs, () -> cuts.remove(pair));
+    linkFaults.cutPair(one.ip, other.ip, spanUs);
   }
 
-  private boolean cut(String one, String other) {
-    return !one.equals(other)
-        && (cuts.contains(one + "|" + other)
-            || cuts.contains(other + "|" + one)
-            || cuts.contains(one)
-            || cuts.contains(other));
+  /** The link from one host to another holds what is sent, and delivers it when it opens. */
+  public void hold(Host from, Host to, long spanUs) {
+    linkFaults.hold(from.ip, to.ip, spanUs);
   }
 
   public void ask(
--- a/src/test/java/wellwheel/simulation/Scenario.java
+++ b/src/test/java/wellwheel/simulation/Scenario.java
@@ -27,6 +27,12 @@
   String key = "key-one";
   boolean powerLost;
   int padBytes;
+  long pullWaitMs = 1_000;
+
+  /** Jobs that workers got under a lease that another worker's had replaced. */
+  final List<String> staleLeases = new ArrayList<>();
+
+  private final Map<String, Long> newestAttempts = new HashMap<>();
   int unconfirmed;
 
   Scenario(long seed) {
@@ -188,7 +194,15 @@
         anyEdge(),
         "POST",
         "/pull/quote",
-        Map.of("Host", "any", "Server-Id", name, "Server-Revision", version, "Wait-Ms", "1000"),
+        Map.of(
+            "Host",
+            "any",
+            "Server-Id",
+            name,
+            "Server-Revision",
+            version,
+            "Wait-Ms",
+            Long.toString(pullWaitMs)),
         new byte[0],
         answer -> {
           if (answer.isPresent() && answer.get().code() == ResultCode.FINE) {
@@ -206,6 +220,7 @@
     }
     var entry = checker.entries.get(headers.get("Attempt-Id"));
     checker.handedOut(headers.get("Attempt-Id"));
+    noteLease(headers.get("Attempt-Id"), headers.get("Lease"));
     assertThat(new String(job.body(), StandardCharsets.UTF_8)).isEqualTo("body of " + entry.id);
     assertThat(headers.get("Customer")).isEqualTo(entry.tenant);
     if (version.equals("v2") && checker.onNew(entry) && !checker.newHow.equals("fails")) {
@@ -231,6 +246,13 @@
         });
   }
 
+  private void noteLease(String id, String lease) {
+    var attempt = Long.parseLong(lease.substring(lease.lastIndexOf('.') + 1));
+    if (attempt < newestAttempts.merge(id, attempt, Math::max)) {
+      staleLeases.add(id + " " + lease);
+    }
+  }
+
   /** What a worker says when it ends a job. */
   record JobEnd(
       HistoryChecker.Entry entry, String jobId, String lease, String result, String seal) {
