A report that does not name a moved instance's function lets it go too

An owner drops a function with its last instance, so if the one report that showed it was lost the instance stayed with nobody while its owner lived.

Why it works: a report names all that a front has; what it does not name is not there. Only instances on their way are compared.

--- a/src/main/java/wellwheel/functions/InstanceRegistry.java
+++ b/src/main/java/wellwheel/functions/InstanceRegistry.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -24,8 +25,24 @@
   private final Map<String, Map<String, ManagedInstance>> byService = new HashMap<>();
   private final Map<String, Long> stoppedUs = new HashMap<>();
 
+  /** Instances that were on their way to another owner when last looked at. */
+  private final Set<ManagedInstance> moving = new LinkedHashSet<>();
+
   void clear() {
     byService.clear();
+    moving.clear();
+  }
+
+  /** An instance is to go to another owner once its owner has let it go. */
+  void move(ManagedInstance instance, String nextOwner) {
+    instance.nextOwner = nextOwner;
+    moving.add(instance);
+  }
+
+  /** The instances that an owner is to let go. */
+  List<ManagedInstance> movingFrom(String owner) {
+    moving.removeIf(each -> !each.moves() || of(each.service).get(each.id) != each);
+    return moving.stream().filter(each -> each.owner.equals(owner)).toList();
   }
 
   /** The instances of a function, by identifier. */
--- a/src/main/java/wellwheel/functions/Scaler.java
+++ b/src/main/java/wellwheel/functions/Scaler.java
@@ -250,6 +250,7 @@
     if (frame.number("v") < table.version()) {
       network.send(from, table.toFrame());
     }
+    letGo(owner, frame.frames("rows"));
     for (var row : frame.frames("rows")) {
       hear(owner, from, frame, row);
       if (listed) {
@@ -272,9 +273,7 @@
             row.number("b"),
             nowUs);
     var known = instances.of(row.text("s"));
-    var has = new HashSet<String>();
     for (var each : row.frames("is")) {
-      has.add(each.text("i"));
       var instance = known.get(each.text("i"));
       if (instance == null && !listed) {
         instance = adopted(owner, row.text("s"), each, nowUs);
@@ -291,17 +290,20 @@
             instance.running > 0 || each.small("c") > 0 ? nowUs : instance.idleSinceUs;
       }
     }
-    letGo(row, owner);
   }
 
-  /** Instances that an owner has no more go to those for whom they were taken from it. */
-  private void letGo(Frame row, String owner) {
-    var has = row.frames("is").stream().map(each -> each.text("i")).toList();
-    for (var each : List.copyOf(instances.of(row.text("s")).values())) {
-      if (each.owner.equals(owner) && each.moves() && !has.contains(each.id)) {
-        handOver(each);
-      }
+  /**
+   * Instances that an owner has no more go to those for whom they were taken from it. Its report
+   * names all that it has.
+   */
+  private void letGo(String owner, List<Frame> rows) {
+    var awaited = instances.movingFrom(owner);
+    if (awaited.isEmpty()) {
+      return;
     }
+    var has = new HashSet<String>();
+    rows.forEach(row -> row.frames("is").forEach(each -> has.add(each.text("i"))));
+    awaited.stream().filter(each -> !has.contains(each.id)).forEach(this::handOver);
   }
 
   private void handOver(ManagedInstance each) {
@@ -400,7 +402,7 @@
     for (var each : instances.of(service).values()) {
       if (moved < most && !each.owner.equals(owner) && isSpare(each, shape)) {
         moved++;
-        each.nextOwner = owner;
+        instances.move(each, owner);
         if (each.owner.isEmpty()) {
           handOver(each);
         } else {
--- a/src/test/java/wellwheel/functions/FunctionsModelTest.java
+++ b/src/test/java/wellwheel/functions/FunctionsModelTest.java
@@ -241,10 +241,10 @@
     for (var round = 0; round < 20; round++) {
       var ips = world.frontIps();
       var front = ips.get(world.random.nextInt(ips.size()));
-      if (world.random.nextBoolean()) {
-        holdInSeries(world, "10.1.0.1", front);
-      } else {
-        holdInSeries(world, front, "10.1.0.1");
+      switch (world.random.nextInt(3)) {
+        case 0 -> holdInSeries(world, "10.1.0.1", front);
+        case 1 -> holdInSeries(world, front, "10.1.0.1");
+        default -> world.failLink(front, "10.1.0.1", ModelLinks.Fault.SILENT, 900_000);
       }
       world.time.runFor(1_500_000);
     }
