--- a/src/main/java/wellwheel/functions/FrontNode.java
+++ b/src/main/java/wellwheel/functions/FrontNode.java
@@ -31,9 +31,6 @@
   private static final long REPORT_IDLE_US = 1_000_000;
   private static final long DOWN_US = 2_000_000;
 
-  /** A list of instances that was held for longer may have been overtaken by events. */
-  private static final long LIST_HELD_US = 300_000;
-
   private static final int HOSTS_MOST = 4096;
 
   private final NodeOptions options;
@@ -273,7 +270,7 @@
           withdraw(new FunctionPool.CallKey(from, CallWithdrawal.read(frame).requestNumber()));
       case CallOutcome.KIND -> passed.over(from, frame.number("rid"), CallOutcome.read(frame));
       case OwnerTable.KIND -> take(OwnerTable.read(frame));
-      case Scaler.ASSIGNED -> assign(frame);
+      case Scaler.ASSIGNED -> frame.frames("rows").forEach(this::assign);
       default -> {}
     }
   }
@@ -306,14 +303,7 @@
     }
   }
 
-  /** Takes lists of instances. The scaler tells again what a list that is passed over has told. */
-  private void assign(Frame frame) {
-    if (frame.delayUs() <= LIST_HELD_US) {
-      frame.frames("rows").forEach(this::assignRow);
-    }
-  }
-
-  private void assignRow(Frame row) {
+  private void assign(Frame row) {
     var pool = poolOf(row.text("s"));
     clusterLease
         .configuration()
