--- a/src/test/java/wellwheel/transport/LinksTest.java
+++ b/src/test/java/wellwheel/transport/LinksTest.java
@@ -272,9 +272,7 @@
     assertThat(unsent).isEmpty();
   }
 
-  /** Guards against frames that count as lost, and are sent again, though none ever left. */
-  @Test
-  void whatCouldNotBeSentIsToldBeforeItsPeerIsCalledDown() throws Exception {
+  private void sendTwoInOneTurn() {
     GROUP
         .next()
         .submit(
@@ -282,25 +280,27 @@
               links.send(THERE, Frame.of("a"));
               links.send(THERE, Frame.of("b"));
             });
-    for (var each : List.of("unsent a", "unsent b", "down")) {
+  }
+
+  private void assertToldInTurn(String... events) throws InterruptedException {
+    for (var each : events) {
       assertThat(told.poll(10, TimeUnit.SECONDS)).isEqualTo(each);
     }
   }
 
+  /** Guards against frames that count as lost, and are sent again, though none ever left. */
+  @Test
+  void whatCouldNotBeSentIsToldBeforeItsPeerIsCalledDown() throws Exception {
+    sendTwoInOneTurn();
+    assertToldInTurn("unsent a", "unsent b", "down");
+  }
+
   /** Guards against frames that are given up and yet taken, as their peer stood still. */
   @Test
   void nothingLeavesBeforeThePeerHasAnsweredTheGreeting() throws Exception {
     try (var server = new ServerSocket(port, 10, InetAddress.getByName(THERE))) {
-      GROUP
-          .next()
-          .submit(
-              () -> {
-                links.send(THERE, Frame.of("a"));
-                links.send(THERE, Frame.of("b"));
-              });
-      for (var each : List.of("unsent a", "unsent b", "down")) {
-        assertThat(told.poll(10, TimeUnit.SECONDS)).isEqualTo(each);
-      }
+      sendTwoInOneTurn();
+      assertToldInTurn("unsent a", "unsent b", "down");
       try (var peer = new Peer(server.accept())) {
         peer.hearsHello();
         assertThat(peer.isClosed()).isTrue();
@@ -319,9 +319,7 @@
           assertThat(peer.isClosed()).isTrue();
         }
       }
-      for (var each : List.of("unsent a", "down")) {
-        assertThat(told.poll(10, TimeUnit.SECONDS)).isEqualTo(each);
-      }
+      assertToldInTurn("unsent a", "down");
     }
   }
 
