--- a/src/test/java/wellwheel/functions/FunctionsModelTest.java
+++ b/src/test/java/wellwheel/functions/FunctionsModelTest.java
@@ -219,6 +219,10 @@
       } else {
         holdInSeries(world, from, to);
       }
+      if (round % 5 == 4) {
+        world.kill(from);
+        world.time.after(800_000, () -> world.startAnew(from));
+      }
       world.time.runFor(1_500_000);
     }
     settleAndCheck(world);
--- a/src/test/java/wellwheel/functions/FunctionsWorld.java
+++ b/src/test/java/wellwheel/functions/FunctionsWorld.java
@@ -447,6 +447,15 @@
     time.after(100, () -> front.node.tick());
   }
 
+  /** Starts a front anew from a timer of the model. */
+  void startAnew(String ip) {
+    try {
+      boot(ip);
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   List<String> frontIps() {
     return List.copyOf(fronts.keySet());
   }
