--- a/src/main/java/wellwheel/transport/OutboundLink.java
+++ b/src/main/java/wellwheel/transport/OutboundLink.java
@@ -220,6 +220,7 @@
   /** No connection came up, or the peer did not answer on it. */
   private void failed() {
     state = State.CLOSED;
+    refused = false;
     restUntilUs = clock.steadyUs() + REST_US;
     takeQueue().forEach(each -> LoopClock.guarded(() -> host.unsent(ip, each.frame())));
     LoopClock.guarded(() -> host.down(ip));
